--- a/server/src/main/java/org/trefoilbarrow/command/Command.java
+++ b/server/src/main/java/org/trefoilbarrow/command/Command.java
@@ -2,11 +2,17 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.util.ServiceLoader;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
-/** A command of the command line. */
-interface Command {
+/** A command of the command line. Other modules add theirs through {@link ServiceLoader}. */
+public interface Command {
+
+  /** Returns the word by which the command is called. */
+  default String name() {
+    throw new UnsupportedOperationException("only commands of other modules name themselves");
+  }
 
   /** Returns what the command does, in one line. */
   String summary();
--- a/server/src/main/java/org/trefoilbarrow/command/ExitCode.java
+++ b/server/src/main/java/org/trefoilbarrow/command/ExitCode.java
@@ -1,7 +1,7 @@
 package org.trefoilbarrow.command;
 
 /** The exit codes of the command line. */
-enum ExitCode {
+public enum ExitCode {
   /** The command did what it was asked to. */
   OK(0),
   /** The command failed, or {@code diff} found differences. */
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetAdapter.java
@@ -0,0 +1,28 @@
+package org.trefoilbarrow.command;
+
+import java.util.function.LongSupplier;
+import org.trefoilbarrow.state.Platform;
+import org.trefoilbarrow.transport.forward.FleetDecoder;
+import org.trefoilbarrow.transport.forward.HttpDialect;
+
+/** All that a host needs to run on an operators' platform. */
+public interface FleetAdapter {
+
+  /** How callers and backend servers speak. */
+  HttpDialect dialect();
+
+  /** How operators and backend servers write to the platform. */
+  FleetDecoder decoder();
+
+  /** Returns the platform at an address. */
+  ConnectedPlatform connect(String address, double callsPerSecond, LongSupplier nanoClock);
+
+  /** A platform, and when it was last heard. */
+  interface ConnectedPlatform extends Platform {
+    /** Returns when the platform last answered, by the clock given on connecting. */
+    long lastAnswerNanos();
+
+    /** Returns the number of calls made so far. */
+    long calls();
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -0,0 +1,439 @@
+package org.trefoilbarrow.command;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.net.HostAndPort;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.trefoilbarrow.coordination.dispatch.DispatchRules;
+import org.trefoilbarrow.coordination.dispatch.Dispatcher;
+import org.trefoilbarrow.protocol.FailureDomainId;
+import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.protocol.JsonCodec;
+import org.trefoilbarrow.settings.FleetHostSettings;
+import org.trefoilbarrow.state.ChangeBatch;
+import org.trefoilbarrow.state.ObjectChange;
+import org.trefoilbarrow.state.ObjectKind;
+import org.trefoilbarrow.state.ObjectPage;
+import org.trefoilbarrow.state.PlatformException;
+import org.trefoilbarrow.state.VersionedObject;
+import org.trefoilbarrow.state.fleet.Catalog;
+import org.trefoilbarrow.state.fleet.FleetView;
+import org.trefoilbarrow.transport.forward.BackendConnections;
+import org.trefoilbarrow.transport.forward.EventLog;
+import org.trefoilbarrow.transport.forward.ForwardServices;
+import org.trefoilbarrow.transport.forward.Ingress;
+import org.trefoilbarrow.transport.jobs.JobFront;
+import org.trefoilbarrow.transport.jobs.JobObjects;
+import org.trefoilbarrow.transport.jobs.JobReads;
+import org.trefoilbarrow.transport.jobs.JobRunner;
+import org.trefoilbarrow.transport.jobs.JobTable;
+import org.trefoilbarrow.transport.link.PeerAddress;
+import org.trefoilbarrow.transport.link.Placements;
+import org.trefoilbarrow.transport.platform.CollectionWatcher;
+
+/**
+ * A host of a fleet on an operators' platform: forwards requests of callers, or dispatches for all
+ * and runs jobs. Starts all parts and ends them in order.
+ */
+public final class FleetHost {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** The longest time of a watch, which bounds how long a silent connection goes unnoticed. */
+  private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
+
+  /** The platform was heard lately if a watch of each kind could have ended since. */
+  private static final Duration FIT_FOR = Duration.ofMillis(3200);
+
+  /** How long a host waits for a dispatching host before it gets connections without one. */
+  private static final Duration WAIT_FOR_PEERS = Duration.ofMillis(1500);
+
+  private static final Duration REGISTER_AGAIN = Duration.ofMillis(300);
+  private static final Duration READY_EVERY = Duration.ofMillis(50);
+
+  /** How long new connections still come after a host said that it is not ready. */
+  private static final Duration ROTATION_TIME = Duration.ofMillis(2600);
+
+  /** What is left of the time to end when the process exits whatever it does. */
+  private static final Duration EXIT_MARGIN = Duration.ofMillis(500);
+
+  private static final int PLATFORM_THREADS = 4;
+
+  private final FleetHostSettings settings;
+  private final FleetAdapter adapter;
+  private final LongSupplier nanoClock;
+  private final LongSupplier milliClock;
+  private final EventLog log;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(
+          1, new DefaultThreadFactory("loop", true), NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final FleetView fleet = new FleetView();
+  private final ExecutorService executor = daemons(PLATFORM_THREADS);
+  private final AtomicInteger firstReads = new AtomicInteger();
+  private final Map<String, PeerAddress> peers = new HashMap<>();
+  private final Set<String> drained = new HashSet<>();
+  private final FleetAdapter.ConnectedPlatform platform;
+  private final PeerAddress self;
+  private final Placements placements;
+  private final JobObjects objects;
+  private final JobTable table;
+  private final ForwardServices services;
+  private final long startNanos;
+  private Optional<Ingress> ingress = Optional.empty();
+  private Optional<JobRunner> runner = Optional.empty();
+  private int watched;
+  private volatile boolean leaving;
+
+  /** Creates a host; {@link #start} begins its work. */
+  public FleetHost(
+      FleetHostSettings settings,
+      FleetAdapter adapter,
+      EventLog log,
+      LongSupplier nanoClock,
+      LongSupplier milliClock) {
+    this.settings = checkNotNull(settings, "settings");
+    this.adapter = checkNotNull(adapter, "adapter");
+    this.log = checkNotNull(log, "log");
+    this.nanoClock = checkNotNull(nanoClock, "nanoClock");
+    this.milliClock = checkNotNull(milliClock, "milliClock");
+    this.startNanos = nanoClock.getAsLong();
+    this.platform =
+        adapter.connect(settings.platform(), settings.platformCallsPerSecond(), nanoClock);
+    this.self =
+        new PeerAddress(
+            HostId.of(settings.name()),
+            settings.address(),
+            settings.linkPort(),
+            settings.servesCallers(),
+            milliClock.getAsLong());
+    Dispatcher dispatcher =
+        new Dispatcher(
+            fleet, DispatchRules.DEFAULT, () -> ThreadLocalRandom.current().nextDouble());
+    this.placements = new Placements(loop, self, fleet, dispatcher, this::isFit, nanoClock);
+    this.objects = new JobObjects(platform);
+    this.table = new JobTable(loop, objects, executor, !settings.servesCallers());
+    this.services =
+        new ForwardServices(
+            loop,
+            fleet,
+            placements,
+            new BackendConnections(loop, adapter.dialect(), nanoClock),
+            adapter.dialect(),
+            log,
+            nanoClock);
+  }
+
+  /** Starts all parts. */
+  public void start() {
+    log.add("host", "start", "host", self.host(), "servesCallers", self.servesCallers());
+    loop.submit(this::startOnLoop).syncUninterruptibly();
+    followFleet();
+    executor.execute(this::register);
+    if (settings.servesCallers()) {
+      loop.scheduleAtFixedRate(
+          this::judgeReadiness,
+          READY_EVERY.toMillis(),
+          READY_EVERY.toMillis(),
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Ends: announces it, lets running work finish, and closes what is left when time is up. */
+  public void stop() {
+    leaving = true;
+    log.add("host", "stop", "host", self.host());
+    long begin = nanoClock.getAsLong();
+    long limit = Duration.ofMillis((long) (settings.shutdownSeconds() * 1000)).toNanos();
+    loop.execute(
+        () -> {
+          ingress.ifPresent(Ingress::beginDraining);
+          runner.ifPresent(JobRunner::stop);
+        });
+    while (nanoClock.getAsLong() - begin < limit - EXIT_MARGIN.toNanos()) {
+      if (loop.submit(() -> isEmpty(begin)).syncUninterruptibly().getNow()) {
+        break;
+      }
+      try {
+        Thread.sleep(READY_EVERY.toMillis());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      }
+    }
+    log.add("host", "end", "host", self.host());
+  }
+
+  private boolean isEmpty(long beginNanos) {
+    if (ingress.isEmpty()) {
+      return true;
+    }
+    if (nanoClock.getAsLong() - beginNanos < ROTATION_TIME.toNanos()) {
+      return false;
+    }
+    ingress.get().closeIdleConnections();
+    return ingress.get().activeCount() == 0;
+  }
+
+  private void startOnLoop() {
+    if (settings.servesCallers()) {
+      JobFront front = new JobFront(loop, placements, objects, table, executor);
+      placements.setPeerMessages(front);
+      Ingress created = new Ingress(services, front, milliClock);
+      HostAndPort callers = HostAndPort.fromString(settings.callerAddress());
+      HostAndPort readiness = HostAndPort.fromString(settings.readinessAddress());
+      created.listen(settings.address(), callers.getPort(), readiness.getPort());
+      ingress = Optional.of(created);
+    } else {
+      placements.setPeerMessages(new JobReads(table));
+      JobRunner created =
+          new JobRunner(services, table, objects, executor, self, this::followsAll, milliClock);
+      created.start();
+      runner = Optional.of(created);
+    }
+    placements.start();
+  }
+
+  private boolean isFit() {
+    return nanoClock.getAsLong() - platform.lastAnswerNanos() < FIT_FOR.toNanos();
+  }
+
+  private boolean followsAll() {
+    return firstReads.get() >= watched;
+  }
+
+  private void judgeReadiness() {
+    boolean hasPeers = !placements.livePeers(false).isEmpty();
+    boolean waited = nanoClock.getAsLong() - startNanos > WAIT_FOR_PEERS.toNanos();
+    boolean ready =
+        !leaving && fleet.catalog().isPresent() && followsAll() && (hasPeers || waited);
+    ingress.ifPresent(found -> found.setReady(ready));
+  }
+
+  private void followFleet() {
+    BackendFeed backends =
+        new BackendFeed(
+            loop, fleet, adapter.decoder(), log, nanoClock, placements::fleetChanged);
+    ImmutableList.Builder<CollectionWatcher> watchers = ImmutableList.builder();
+    watchers.add(watch(ObjectKind.CONFIGURATION, this::configured, name -> {}));
+    watchers.add(
+        new CollectionWatcher(
+            platform,
+            ObjectKind.BACKEND_SERVER,
+            page -> {
+              backends.onWhole(page);
+              firstReads.incrementAndGet();
+            },
+            backends::onChanges,
+            backends::onOutage,
+            WATCH_WAIT));
+    watchers.add(watch(ObjectKind.DRAINED_DOMAIN, this::drained, this::undrained));
+    watchers.add(watch(ObjectKind.HOST, this::hostListed, this::hostGone));
+    if (!settings.servesCallers()) {
+      watchers.add(
+          watch(ObjectKind.JOB, object -> table.jobCreated(object.value()), table::jobRemoved));
+      watchers.add(
+          watch(
+              ObjectKind.RESULT,
+              object -> table.partCreated(object.name(), object.value()),
+              name -> {}));
+      watchers.add(
+          watch(ObjectKind.JOB_END, object -> table.jobEnded(object.name()), name -> {}));
+      watchers.add(watch(ObjectKind.HOST_REMOVAL, this::removalAsked, name -> {}));
+    }
+    ImmutableList<CollectionWatcher> all = watchers.build();
+    watched = all.size();
+    all.forEach(CollectionWatcher::start);
+  }
+
+  /** Follows a collection whose objects are taken one by one, on the event loop. */
+  private CollectionWatcher watch(
+      ObjectKind kind, Consumer<VersionedObject> onPut, Consumer<String> onDelete) {
+    Set<String> known = new HashSet<>();
+    BiConsumer<VersionedObject, Boolean> take =
+        (object, present) -> {
+          if (present) {
+            known.add(object.name());
+            onPut.accept(object);
+          } else if (known.remove(object.name())) {
+            onDelete.accept(object.name());
+          }
+        };
+    boolean[] read = new boolean[1];
+    return new CollectionWatcher(
+        platform,
+        kind,
+        page ->
+            loop.execute(
+                () -> {
+                  takeWhole(page, known, take);
+                  if (!read[0]) {
+                    read[0] = true;
+                    firstReads.incrementAndGet();
+                  }
+                }),
+        batch -> loop.execute(() -> takeChanges(batch, take)),
+        () -> {},
+        WATCH_WAIT);
+  }
+
+  private static void takeWhole(
+      ObjectPage page, Set<String> known, BiConsumer<VersionedObject, Boolean> take) {
+    Set<String> gone = new HashSet<>(known);
+    for (VersionedObject object : page.objects()) {
+      gone.remove(object.name());
+      take.accept(object, true);
+    }
+    gone.forEach(name -> take.accept(new VersionedObject(name, page.revision(), ""), false));
+  }
+
+  private static void takeChanges(
+      ChangeBatch batch, BiConsumer<VersionedObject, Boolean> take) {
+    for (ObjectChange change : batch.changes()) {
+      take.accept(
+          new VersionedObject(change.name(), change.version(), change.value().orElse("")),
+          change.value().isPresent());
+    }
+  }
+
+  private void configured(VersionedObject object) {
+    Optional<Catalog> catalog;
+    try {
+      catalog = adapter.decoder().catalog(object.name(), object.value());
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("host: a configuration cannot be read");
+      log.add("config", "unreadable", "revision", object.version());
+      return;
+    }
+    if (catalog.isPresent() && fleet.apply(catalog.get(), object.version())) {
+      log.add(
+          "config",
+          "in force",
+          "version",
+          catalog.get().version(),
+          "revision",
+          object.version(),
+          "routes",
+          catalog.get().routes().size());
+      placements.fleetChanged();
+    }
+  }
+
+  private void drained(VersionedObject object) {
+    if (drained.add(object.name())) {
+      log.add("config", "domain drained", "domain", object.name());
+      setDrained();
+    }
+  }
+
+  private void undrained(String name) {
+    if (drained.remove(name)) {
+      log.add("config", "domain back", "domain", name);
+      setDrained();
+    }
+  }
+
+  private void setDrained() {
+    Set<FailureDomainId> domains = new HashSet<>();
+    drained.forEach(name -> domains.add(adapter.decoder().drainedDomain(name)));
+    fleet.setDrainedDomains(domains);
+    placements.fleetChanged();
+  }
+
+  private void hostListed(VersionedObject object) {
+    peers.put(object.name(), JsonCodec.decode(object.value(), PeerAddress.class));
+    log.add("peers", "listed", "host", object.name());
+    placements.setPeers(peers.values());
+  }
+
+  private void hostGone(String name) {
+    peers.remove(name);
+    log.add("peers", "gone", "host", name);
+    placements.setPeers(peers.values());
+  }
+
+  private void removalAsked(VersionedObject object) {
+    if (!object.name().equals(settings.name()) || leaving) {
+      return;
+    }
+    leaving = true;
+    log.add("host", "removal asked", "host", self.host());
+    runner.ifPresent(JobRunner::stop);
+    executor.execute(() -> confirmRemoval(object));
+  }
+
+  /** All that lasts lies at the platform, so a host is empty once others know that it leaves. */
+  private void confirmRemoval(VersionedObject object) {
+    try {
+      Optional<VersionedObject> listed = platform.read(ObjectKind.HOST, settings.name());
+      if (listed.isPresent()) {
+        platform.delete(ObjectKind.HOST, settings.name(), listed.get().version());
+      }
+      Optional<VersionedObject> asked = platform.read(ObjectKind.HOST_REMOVAL, object.name());
+      if (asked.isPresent()) {
+        platform.write(
+            ObjectKind.HOST_REMOVAL,
+            object.name(),
+            asked.get().version(),
+            adapter.decoder().emptied());
+      }
+    } catch (PlatformException e) {
+      logger.atInfo().log("host: the removal is not confirmed yet: %s", e.getMessage());
+      loop.schedule(
+          () -> executor.execute(() -> confirmRemoval(object)),
+          REGISTER_AGAIN.toMillis(),
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void register() {
+    if (leaving) {
+      return;
+    }
+    try {
+      Optional<VersionedObject> known = platform.read(ObjectKind.HOST, settings.name());
+      long version = known.map(VersionedObject::version).orElse(0L);
+      if (platform
+          .write(ObjectKind.HOST, settings.name(), version, JsonCodec.encode(self))
+          .isPresent()) {
+        log.add("host", "registered", "host", self.host());
+        return;
+      }
+    } catch (PlatformException e) {
+      logger.atFine().log("host: not registered yet: %s", e.getMessage());
+    }
+    loop.schedule(
+        () -> executor.execute(this::register),
+        REGISTER_AGAIN.toMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  private static ExecutorService daemons(int threads) {
+    return Executors.newFixedThreadPool(
+        threads,
+        task -> {
+          Thread thread = new Thread(task, "platform");
+          thread.setDaemon(true);
+          return thread;
+        });
+  }
+}
--- a/server/src/main/java/org/trefoilbarrow/command/Main.java
+++ b/server/src/main/java/org/trefoilbarrow/command/Main.java
@@ -1,6 +1,8 @@
 package org.trefoilbarrow.command;
 
 import ch.qos.logback.classic.Level;
+import com.google.common.base.Supplier;
+import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableMap;
 import io.dropwizard.logging.common.BootstrapLogging;
 import java.io.IOException;
@@ -8,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.ServiceLoader;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -16,9 +19,15 @@
 
 /** The command line of trefoilbarrow. */
 public final class Main {
-  private static final ImmutableMap<String, Command> COMMANDS =
-      ImmutableMap.<String, Command>builder()
-          .put("serve", new ServeCommand())
+  private static final Supplier<ImmutableMap<String, Command>> COMMANDS =
+      Suppliers.memoize(Main::commands);
+
+  private Main() {}
+
+  private static ImmutableMap<String, Command> commands() {
+    ImmutableMap.Builder<String, Command> commands =
+        ImmutableMap.<String, Command>builder()
+            .put("serve", new ServeCommand())
           .put("check-settings", new CheckSettingsCommand())
           .put("dev", new DevCommand())
           .put("apply", ApplyCommand.apply())
@@ -26,10 +35,10 @@
           .put("get", new GetCommand())
           .put("key", new KeyCommand())
           .put("status", new StatusCommand())
-          .put("job", new JobCommand())
-          .buildOrThrow();
-
-  private Main() {}
+          .put("job", new JobCommand());
+    ServiceLoader.load(Command.class).forEach(command -> commands.put(command.name(), command));
+    return commands.buildOrThrow();
+  }
 
   /** Runs the command that the arguments name and exits with its code. */
   public static void main(String[] arguments) throws IOException, InterruptedException {
@@ -50,7 +59,7 @@
       printUsage(output);
       return ExitCode.OK;
     }
-    Command command = COMMANDS.get(arguments[0]);
+    Command command = COMMANDS.get().get(arguments[0]);
     if (command == null) {
       errors.printf("command \"%s\" does not exist%n", arguments[0]);
       printUsage(errors);
@@ -83,7 +92,7 @@
 
   private static void printUsage(PrintStream stream) {
     stream.println("usage: trefoilbarrow COMMAND [OPTION...] [ARGUMENT...]");
-    for (Map.Entry<String, Command> entry : COMMANDS.entrySet()) {
+    for (Map.Entry<String, Command> entry : COMMANDS.get().entrySet()) {
       stream.printf("  %-16s%s%n", entry.getKey(), entry.getValue().summary());
     }
     stream.println("trefoilbarrow COMMAND --help shows the options of a command.");
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
@@ -0,0 +1,38 @@
+package org.trefoilbarrow.coordination.dispatch;
+
+import java.time.Duration;
+
+/**
+ * The bounds of dispatching.
+ *
+ * @param batchReserve the part of a service's places that batch work leaves free for the next
+ *     online requests
+ * @param urgentBefore how long before a job is due its items are no longer interrupted: about the
+ *     time that a long item runs
+ * @param firstServiceTime the service time that is assumed before any was measured
+ * @param coldPart the part of a cold backend server's tolerated rate that is used, below 1 because
+ *     a change of the dispatching host may double it for a moment
+ * @param penalty how long a backend server that failed gets only what no other can take; doubled
+ *     by each further failure
+ * @param maxPenalty the longest penalty
+ * @param lostHostKept how long places of a host that is no longer heard count as taken
+ */
+public record DispatchRules(
+    double batchReserve,
+    Duration urgentBefore,
+    Duration firstServiceTime,
+    double coldPart,
+    Duration penalty,
+    Duration maxPenalty,
+    Duration lostHostKept) {
+  /** The usual bounds. */
+  public static final DispatchRules DEFAULT =
+      new DispatchRules(
+          0.05,
+          Duration.ofSeconds(7),
+          Duration.ofMillis(500),
+          0.8,
+          Duration.ofMillis(500),
+          Duration.ofSeconds(4),
+          Duration.ofSeconds(2));
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -0,0 +1,452 @@
+package org.trefoilbarrow.coordination.dispatch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.DoubleSupplier;
+import org.trefoilbarrow.coordination.token.Grant;
+import org.trefoilbarrow.coordination.token.VariableBucket;
+import org.trefoilbarrow.protocol.BackendServerId;
+import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.state.fleet.BackendServer;
+import org.trefoilbarrow.state.fleet.Catalog;
+import org.trefoilbarrow.state.fleet.FleetView;
+import org.trefoilbarrow.state.fleet.Organisation;
+import org.trefoilbarrow.state.fleet.Service;
+
+/**
+ * Places work of all hosts at backend servers.
+ *
+ * <p>Answers a load whose peaks exceed the places for seconds: online requests that can still be on
+ * time go first by rank and objective, and take the places of batch items, which go on later; what
+ * would wait for longer than its objective is refused at once, with the time after which the queue
+ * will be short; requests that became late take only places that nobody else wants. Batch items
+ * whose job is about to be late go before all others.
+ *
+ * <p>Not thread-safe.
+ */
+public final class Dispatcher {
+  private static final Duration NO_BACKEND_RETRY = Duration.ofMillis(400);
+  private static final Duration MIN_RETRY = Duration.ofMillis(200);
+  private static final Duration RETRY_SPREAD = Duration.ofMillis(600);
+  private static final double SERVICE_TIME_WEIGHT = 0.05;
+
+  private final FleetView fleet;
+  private final DispatchRules rules;
+  private final DoubleSupplier random;
+  private final Map<BackendServerId, BackendLoad> loads = new HashMap<>();
+  private final Map<DemandId, Running> running = new HashMap<>();
+  private final Map<DemandId, Demand> waiting = new HashMap<>();
+  private final Map<String, Queue> queues = new HashMap<>();
+  private final Map<OrganisationId, VariableBucket> buckets = new HashMap<>();
+  private final Map<HostId, Long> lostHosts = new HashMap<>();
+  private double part = 1;
+
+  /** Work that has a place. */
+  private static final class Running {
+    final Demand demand;
+    final BackendServerId backend;
+    final long sinceNanos;
+    boolean revoked;
+
+    Running(Demand demand, BackendServerId backend, long sinceNanos) {
+      this.demand = demand;
+      this.backend = backend;
+      this.sinceNanos = sinceNanos;
+    }
+  }
+
+  /** The demands of one service that wait. */
+  private static final class Queue {
+    static final Comparator<Demand> BY_RANK =
+        Comparator.comparingInt(Demand::priority)
+            .thenComparingLong(Demand::objectiveNanos)
+            .thenComparing(demand -> demand.id().host().value())
+            .thenComparingLong(demand -> demand.id().call());
+    static final Comparator<Demand> BY_OBJECTIVE =
+        Comparator.comparingLong(Demand::objectiveNanos)
+            .thenComparing(demand -> demand.id().host().value())
+            .thenComparingLong(demand -> demand.id().call());
+
+    final TreeSet<Demand> online = new TreeSet<>(BY_RANK);
+    final TreeSet<Demand> late = new TreeSet<>(BY_OBJECTIVE);
+    final TreeSet<Demand> batch = new TreeSet<>(BY_OBJECTIVE);
+    double serviceNanos;
+
+    void remove(Demand demand) {
+      online.remove(demand);
+      late.remove(demand);
+      batch.remove(demand);
+    }
+  }
+
+  /**
+   * Creates a dispatcher without work.
+   *
+   * @param random numbers from 0 to 1 that spread the times at which callers come back
+   */
+  public Dispatcher(FleetView fleet, DispatchRules rules, DoubleSupplier random) {
+    this.fleet = checkNotNull(fleet, "fleet");
+    this.rules = checkNotNull(rules, "rules");
+    this.random = checkNotNull(random, "random");
+  }
+
+  /** Sets the part of each limit that this dispatcher may give out, above 0 and at most 1. */
+  public void setPart(double part) {
+    checkArgument(part > 0 && part <= 1, "part must be above 0 and at most 1: %s", part);
+    this.part = part;
+  }
+
+  /** Takes a demand; it is placed, refused or kept waiting. */
+  public ImmutableList<Decision> submit(Demand demand, long nowNanos) {
+    if (waiting.containsKey(demand.id()) || running.containsKey(demand.id())) {
+      return ImmutableList.of();
+    }
+    Queue queue = queue(demand.service());
+    if (!demand.batch()) {
+      Optional<Decision> refusal = refusal(demand, queue, nowNanos);
+      if (refusal.isPresent()) {
+        return ImmutableList.of(refusal.get());
+      }
+    }
+    waiting.put(demand.id(), demand);
+    (demand.batch() ? queue.batch : queue.online).add(demand);
+    return pump(demand.service(), nowNanos);
+  }
+
+  /** Counts work that a host already runs, as told by the host. */
+  public void adopt(Demand demand, BackendServerId backend, long nowNanos) {
+    if (running.putIfAbsent(demand.id(), new Running(demand, backend, nowNanos)) == null) {
+      load(backend).adopted();
+    }
+  }
+
+  /** Ends a demand, whether it waits or runs. */
+  public ImmutableList<Decision> finished(DemandId id, PlaceResult result, long nowNanos) {
+    Demand waited = waiting.remove(id);
+    if (waited != null) {
+      queue(waited.service()).remove(waited);
+      return ImmutableList.of();
+    }
+    Running ended = running.remove(id);
+    if (ended == null) {
+      return ImmutableList.of();
+    }
+    BackendLoad load = load(ended.backend);
+    load.ended();
+    learn(ended, load, result, nowNanos);
+    return pump(ended.demand.service(), nowNanos);
+  }
+
+  /** Forgets all demands of a host that begins anew. */
+  public void hostRestarted(HostId host) {
+    lostHosts.remove(host);
+    dropWaiting(host);
+    running.values().removeIf(entry -> release(entry, host));
+  }
+
+  /** Forgets what a host that is no longer heard waits for, and later what it runs. */
+  public void hostLost(HostId host, long nowNanos) {
+    dropWaiting(host);
+    lostHosts.put(host, nowNanos + rules.lostHostKept().toNanos());
+  }
+
+  /** Looks again at all that waits, after time has passed or the fleet has changed. */
+  public ImmutableList<Decision> tick(long nowNanos) {
+    lostHosts
+        .entrySet()
+        .removeIf(
+            lost -> {
+              if (nowNanos - lost.getValue() < 0) {
+                return false;
+              }
+              running.values().removeIf(entry -> release(entry, lost.getKey()));
+              return true;
+            });
+    loads.keySet().removeIf(id -> fleet.backend(id).isEmpty() && load(id).running() == 0);
+    ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
+    for (String service : ImmutableList.copyOf(queues.keySet())) {
+      decisions.addAll(pump(service, nowNanos));
+    }
+    return decisions.build();
+  }
+
+  /** Returns the number of demands that wait. */
+  public int waitingCount() {
+    return waiting.size();
+  }
+
+  /** Returns the number of demands that have a place. */
+  public int runningCount() {
+    return running.size();
+  }
+
+  private void dropWaiting(HostId host) {
+    waiting
+        .values()
+        .removeIf(
+            demand -> {
+              if (!demand.id().host().equals(host)) {
+                return false;
+              }
+              queue(demand.service()).remove(demand);
+              return true;
+            });
+  }
+
+  private boolean release(Running entry, HostId host) {
+    if (!entry.demand.id().host().equals(host)) {
+      return false;
+    }
+    load(entry.backend).ended();
+    return true;
+  }
+
+  private void learn(Running ended, BackendLoad load, PlaceResult result, long nowNanos) {
+    switch (result) {
+      case ANSWERED -> {
+        load.succeeded();
+        if (!ended.demand.batch()) {
+          Queue queue = queue(ended.demand.service());
+          queue.serviceNanos +=
+              SERVICE_TIME_WEIGHT * (nowNanos - ended.sinceNanos - queue.serviceNanos);
+        }
+      }
+      case FAILED, STALLED, NOT_RUN -> load.failed(nowNanos, rules);
+      case REPLACED -> load.replaced();
+      case CANCELLED -> {}
+    }
+  }
+
+  private Optional<Decision> refusal(Demand demand, Queue queue, long nowNanos) {
+    int places = 0;
+    int free = 0;
+    for (BackendServer backend : fleet.backends()) {
+      if (serves(backend, demand.service())) {
+        places += backend.slots();
+        free += Math.max(0, backend.slots() - load(backend.id()).running());
+      }
+    }
+    if (places == 0) {
+      return Optional.of(refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY.toNanos()));
+    }
+    if (!demand.repeated()) {
+      int excess = queue.online.size() + 1 - free - interruptible(demand.service(), nowNanos);
+      double waitNanos = Math.max(0, excess) * queue.serviceNanos / places;
+      if (nowNanos + waitNanos > demand.objectiveNanos()) {
+        return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
+      }
+    }
+    return demand.organisation().flatMap(id -> overRate(demand, id, nowNanos));
+  }
+
+  private Optional<Decision> overRate(Demand demand, OrganisationId id, long nowNanos) {
+    Organisation organisation = fleet.catalog().map(Catalog::organisations).map(all -> all.get(id))
+        .orElse(null);
+    if (organisation == null || organisation.ratePerSecond() <= 0) {
+      return Optional.empty();
+    }
+    Grant grant =
+        new Grant(organisation.ratePerSecond(), Math.max(1, organisation.burst()), 0);
+    VariableBucket bucket = buckets.computeIfAbsent(id, key -> new VariableBucket(nowNanos));
+    if (bucket.tryTake(grant, part, nowNanos)) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        refused(demand, RefusalReason.OVER_RATE, (long) (1e9 / organisation.ratePerSecond())));
+  }
+
+  private Decision refused(Demand demand, RefusalReason reason, long waitNanos) {
+    long spread = (long) (RETRY_SPREAD.toMillis() * random.getAsDouble());
+    long millis = Math.max(MIN_RETRY.toMillis(), waitNanos / 1_000_000) + spread;
+    return new Decision.Refused(demand.id(), reason, millis);
+  }
+
+  private int interruptible(String service, long nowNanos) {
+    int count = 0;
+    for (Running entry : running.values()) {
+      if (isInterruptible(entry, service, nowNanos)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  private boolean isInterruptible(Running entry, String service, long nowNanos) {
+    return entry.demand.batch()
+        && entry.demand.service().equals(service)
+        && !entry.revoked
+        && !isUrgent(entry.demand, nowNanos);
+  }
+
+  private boolean isUrgent(Demand demand, long nowNanos) {
+    long left = demand.objectiveNanos() - nowNanos;
+    return left > 0 && left < rules.urgentBefore().toNanos();
+  }
+
+  private ImmutableList<Decision> pump(String service, long nowNanos) {
+    Queue queue = queue(service);
+    moveLate(queue, nowNanos);
+    ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
+    List<Demand> urgent = new ArrayList<>();
+    for (Demand demand : queue.batch) {
+      if (isUrgent(demand, nowNanos)) {
+        urgent.add(demand);
+      }
+    }
+    placeAll(urgent, 0, decisions, nowNanos);
+    placeAll(new ArrayList<>(queue.online), 0, decisions, nowNanos);
+    interrupt(queue.online.size(), service, decisions, nowNanos);
+    if (queue.online.isEmpty()) {
+      int reserve = (int) Math.ceil(places(service) * rules.batchReserve());
+      placeAll(new ArrayList<>(queue.batch), reserve, decisions, nowNanos);
+      placeAll(new ArrayList<>(queue.late), 0, decisions, nowNanos);
+    }
+    return decisions.build();
+  }
+
+  private static void moveLate(Queue queue, long nowNanos) {
+    for (Demand demand : ImmutableList.copyOf(queue.online)) {
+      if (nowNanos - demand.objectiveNanos() > 0) {
+        queue.online.remove(demand);
+        queue.late.add(demand);
+      }
+    }
+  }
+
+  private void placeAll(
+      List<Demand> demands,
+      int reserve,
+      ImmutableList.Builder<Decision> decisions,
+      long nowNanos) {
+    for (Demand demand : demands) {
+      if (reserve > 0 && freePlaces(demand.service()) <= reserve) {
+        return;
+      }
+      Optional<BackendServer> backend = choose(demand, nowNanos);
+      if (backend.isEmpty()) {
+        if (demand.excluded().isEmpty()) {
+          return;
+        }
+        continue;
+      }
+      BackendServerId id = backend.get().id();
+      load(id).placed(nowNanos);
+      waiting.remove(demand.id());
+      queue(demand.service()).remove(demand);
+      running.put(demand.id(), new Running(demand, id, nowNanos));
+      decisions.add(new Decision.Placed(demand.id(), id));
+    }
+  }
+
+  private void interrupt(
+      int wanted, String service, ImmutableList.Builder<Decision> decisions, long nowNanos) {
+    int missing = wanted;
+    for (Running entry : running.values()) {
+      if (entry.revoked && entry.demand.service().equals(service)) {
+        missing--;
+      }
+    }
+    if (missing <= 0) {
+      return;
+    }
+    running.values().stream()
+        .filter(entry -> isInterruptible(entry, service, nowNanos))
+        .sorted(
+            Comparator.comparingLong((Running entry) -> entry.demand.objectiveNanos()).reversed())
+        .limit(missing)
+        .forEach(
+            entry -> {
+              entry.revoked = true;
+              decisions.add(new Decision.Revoked(entry.demand.id()));
+            });
+  }
+
+  private int places(String service) {
+    int places = 0;
+    for (BackendServer backend : fleet.backends()) {
+      if (serves(backend, service)) {
+        places += backend.slots();
+      }
+    }
+    return places;
+  }
+
+  private int freePlaces(String service) {
+    int free = 0;
+    for (BackendServer backend : fleet.backends()) {
+      if (serves(backend, service)) {
+        free += Math.max(0, backend.slots() - load(backend.id()).running());
+      }
+    }
+    return free;
+  }
+
+  private boolean serves(BackendServer backend, String service) {
+    return backend.service().equals(service)
+        && fleet.isUsable(backend)
+        && !load(backend.id()).isGone();
+  }
+
+  private Optional<BackendServer> choose(Demand demand, long nowNanos) {
+    BackendServer best = null;
+    double bestScore = Double.MAX_VALUE;
+    for (BackendServer backend : fleet.backends()) {
+      if (!serves(backend, demand.service()) || demand.excluded().contains(backend.id())) {
+        continue;
+      }
+      BackendLoad load = load(backend.id());
+      if (load.running() >= backend.slots() || isColdAndBusy(backend, load, nowNanos)) {
+        continue;
+      }
+      double score = (double) load.running() / backend.slots() + random.getAsDouble() / 100;
+      if (load.isPenalised(nowNanos)) {
+        // Tried only when no sound server has a place.
+        score += 10;
+      }
+      if (score < bestScore) {
+        bestScore = score;
+        best = backend;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private boolean isColdAndBusy(BackendServer backend, BackendLoad load, long nowNanos) {
+    if (backend.coldUntilNanos() - nowNanos <= 0) {
+      return false;
+    }
+    double rate =
+        fleet
+            .catalog()
+            .map(catalog -> catalog.services().get(backend.service()))
+            .map(Service::coldRatePerSecond)
+            .orElse(0.0);
+    return rate > 0
+        && load.sentInLastSecond(nowNanos) + 1 > Math.max(1, rate * rules.coldPart() * part);
+  }
+
+  private Queue queue(String service) {
+    return queues.computeIfAbsent(
+        service,
+        key -> {
+          Queue queue = new Queue();
+          queue.serviceNanos = rules.firstServiceTime().toNanos();
+          return queue;
+        });
+  }
+
+  private BackendLoad load(BackendServerId id) {
+    return loads.computeIfAbsent(id, key -> new BackendLoad());
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/RefusalReason.java
@@ -0,0 +1,11 @@
+package org.trefoilbarrow.coordination.dispatch;
+
+/** Why a demand gets no place. */
+public enum RefusalReason {
+  /** The wait would be longer than the objective. */
+  TOO_LONG_A_WAIT,
+  /** The organisation is over its grant. */
+  OVER_RATE,
+  /** No backend server of the service may take requests. */
+  NO_BACKEND
+}
--- a/server/src/main/java/org/trefoilbarrow/protocol/ErrorKind.java
+++ b/server/src/main/java/org/trefoilbarrow/protocol/ErrorKind.java
@@ -16,6 +16,7 @@
   VERSION_CONFLICT(409, NOT_RUN, "version_conflict"),
   IN_USE(409, NOT_RUN, "in_use"),
   BODY_TOO_LARGE(413, NOT_RUN, "body_too_large"),
+  HEADERS_TOO_LARGE(431, NOT_RUN, "headers_too_large"),
   IDEMPOTENCY_KEY_REUSED(422, NOT_RUN, "idempotency_key_reused"),
   PRECONDITION_REQUIRED(428, NOT_RUN, "precondition_required"),
   OVER_RATE(429, NOT_RUN, "over_rate"),
--- a/server/src/main/java/org/trefoilbarrow/settings/SettingsLoader.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/SettingsLoader.java
@@ -29,7 +29,7 @@
 
 /** Reads settings files: JSON with comments, over the defaults, all mistakes reported at once. */
 public final class SettingsLoader {
-  private static final ObjectMapper MAPPER =
+  static final ObjectMapper MAPPER =
       JsonMapper.builder()
           .enable(JsonParser.Feature.ALLOW_COMMENTS)
           .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
@@ -68,7 +68,7 @@
     return settings;
   }
 
-  private static String readText(Path file) {
+  static String readText(Path file) {
     try {
       return Files.readString(file);
     } catch (NoSuchFileException e) {
--- a/server/src/main/java/org/trefoilbarrow/state/ObjectKind.java
+++ b/server/src/main/java/org/trefoilbarrow/state/ObjectKind.java
@@ -10,7 +10,12 @@
   JOB("jobs"),
   SEGMENT("segments"),
   RESULT("results"),
-  CALL("calls");
+  CALL("calls"),
+  BACKEND_SERVER("backend-servers"),
+  DRAINED_DOMAIN("drained-domains"),
+  HOST_REMOVAL("host-removals"),
+  JOB_END("job-ends"),
+  JOB_PIECE("job-pieces");
 
   private final String collection;
 
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/state/fleet/Catalog.java
@@ -0,0 +1,59 @@
+package org.trefoilbarrow.state.fleet;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.trefoilbarrow.protocol.OrganisationId;
+
+/**
+ * One version of the operators' configuration. Immutable.
+ *
+ * @param version the operators' version
+ * @param routes all routes
+ * @param services the services by name
+ * @param organisations the organisations by identifier
+ * @param keys the organisation that holds each key
+ * @param limits what a caller may send
+ */
+public record Catalog(
+    long version,
+    List<Route> routes,
+    Map<String, Service> services,
+    Map<OrganisationId, Organisation> organisations,
+    Map<String, OrganisationId> keys,
+    CallerLimits limits) {
+
+  /** Checks the components, and copies those that could change. */
+  public Catalog {
+    routes =
+        ImmutableList.sortedCopyOf(
+            Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed(),
+            routes);
+    services = ImmutableMap.copyOf(services);
+    organisations = ImmutableMap.copyOf(organisations);
+    keys = ImmutableMap.copyOf(keys);
+    checkNotNull(limits, "limits");
+  }
+
+  /** Returns the route of a host name with the longest prefix that begins the path. */
+  public Optional<Route> route(String hostName, String path) {
+    return routes.stream()
+        .filter(route -> route.hostName().equals(hostName) && path.startsWith(route.pathPrefix()))
+        .findFirst();
+  }
+
+  /** Returns whether any route has the given host name. */
+  public boolean knowsHostName(String hostName) {
+    return routes.stream().anyMatch(route -> route.hostName().equals(hostName));
+  }
+
+  /** Returns the organisation that holds a key. */
+  public Optional<Organisation> holderOf(String key) {
+    return Optional.ofNullable(keys.get(key)).map(organisations::get);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/EventLog.java
@@ -0,0 +1,103 @@
+package org.trefoilbarrow.transport.forward;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+
+/**
+ * Writes one JSON object a line for each decision. Never blocks: when the buffer is full, lines are
+ * dropped and counted. Thread-safe.
+ */
+public final class EventLog {
+  private static final int BUFFERED_LINES = 4096;
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(BUFFERED_LINES);
+  private final AtomicLong dropped = new AtomicLong();
+  private final PrintStream output;
+  private final LongSupplier milliClock;
+
+  /** Creates a log; {@link #start} begins to write. */
+  public EventLog(PrintStream output, LongSupplier milliClock) {
+    this.output = output;
+    this.milliClock = milliClock;
+  }
+
+  /** Begins to write on a thread of its own. */
+  public void start() {
+    Thread writer = new Thread(this::write, "event-log");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  /**
+   * Adds a line.
+   *
+   * @param part the part of the program, such as {@code forward}
+   * @param event what happened
+   * @param fields names and values in turn
+   */
+  public void add(String part, String event, Object... fields) {
+    if (!lines.offer(encode(part, event, fields))) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /** Returns the number of lines that were dropped so far. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  private String encode(String part, String event, Object... fields) {
+    StringWriter text = new StringWriter(160);
+    try (JsonGenerator json = JSON.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeNumberField("at", milliClock.getAsLong());
+      json.writeStringField("part", part);
+      json.writeStringField("event", event);
+      for (int index = 0; index + 1 < fields.length; index += 2) {
+        json.writeFieldName(String.valueOf(fields[index]));
+        Object value = fields[index + 1];
+        if (value instanceof Integer || value instanceof Long) {
+          json.writeNumber(((Number) value).longValue());
+        } else if (value instanceof Boolean flag) {
+          json.writeBoolean(flag);
+        } else {
+          json.writeString(String.valueOf(value));
+        }
+      }
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException("a line of the log has no JSON form", e);
+    }
+    return text.toString();
+  }
+
+  private void write() {
+    long told = 0;
+    try {
+      while (true) {
+        StringBuilder batch = new StringBuilder(lines.take()).append('\n');
+        for (String next = lines.poll(); next != null; next = lines.poll()) {
+          batch.append(next).append('\n');
+        }
+        long missing = dropped.get();
+        if (missing != told) {
+          batch.append(encode("log", "dropped", "lines", missing - told)).append('\n');
+          told = missing;
+        }
+        output.append(batch);
+        output.flush();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
@@ -0,0 +1,26 @@
+package org.trefoilbarrow.transport.forward;
+
+import io.netty.channel.EventLoop;
+import java.util.function.LongSupplier;
+import org.trefoilbarrow.state.fleet.FleetView;
+import org.trefoilbarrow.transport.link.Placements;
+
+/**
+ * What forwarded calls share.
+ *
+ * @param loop the event loop
+ * @param fleet what the host knows of the fleet
+ * @param placements where places come from
+ * @param connections the connections to backend servers
+ * @param dialect how callers and backend servers speak
+ * @param log the log of decisions
+ * @param nanoClock the monotonic clock
+ */
+public record ForwardServices(
+    EventLoop loop,
+    FleetView fleet,
+    Placements placements,
+    BackendConnections connections,
+    HttpDialect dialect,
+    EventLog log,
+    LongSupplier nanoClock) {}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -0,0 +1,501 @@
+package org.trefoilbarrow.transport.forward;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.trefoilbarrow.coordination.dispatch.PlaceResult;
+import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.protocol.BackendServerId;
+import org.trefoilbarrow.protocol.ErrorKind;
+import org.trefoilbarrow.state.fleet.BackendServer;
+import org.trefoilbarrow.state.fleet.Organisation;
+import org.trefoilbarrow.state.fleet.Route;
+import org.trefoilbarrow.transport.link.PlaceListener;
+import org.trefoilbarrow.transport.link.WorkDemand;
+
+/**
+ * Leads one request of a caller to its end: asks for a place, sends it, sends it again where that is
+ * safe, continues a stream at another backend server, and answers.
+ */
+final class ForwardedCall implements PlaceListener {
+  /** The part of the objective within which a request must be placed. */
+  private static final double PLACE_WITHIN = 0.75;
+
+  /** How often a request that certainly did not run is sent again. */
+  private static final int MAX_UNRUN_SENDS = 4;
+
+  /** The shortest time in which a backend server can be expected to begin its answer. */
+  private static final Duration MIN_FIRST_SIGN = Duration.ofMillis(250);
+
+  /** What is added to the longest pause of a stream before the stream is continued elsewhere. */
+  private static final Duration GAP_SLACK = Duration.ofMillis(100);
+
+  private static final Duration MIN_TIME_TO_SEND = Duration.ofMillis(5);
+  private static final int RANKS = 1000;
+  private static final long NANOS_IN_MILLI = 1_000_000;
+
+  private final ForwardServices services;
+  private final FullHttpRequest request;
+  private final RequestFacts facts;
+  private final Route route;
+  private final Optional<Organisation> organisation;
+  private final Responder responder;
+  private final Runnable onDone;
+  private final long startNanos;
+  private final long deadlineNanos;
+  private final Set<BackendServerId> excluded = new HashSet<>();
+  private final ScheduledFuture<?> timeout;
+  private long place = -1;
+  private int runs;
+  private int unrunSends;
+  private Optional<Exchange> exchange = Optional.empty();
+  private Optional<String> lastEvent;
+  private boolean answerBegun;
+  private boolean done;
+
+  ForwardedCall(
+      ForwardServices services,
+      FullHttpRequest request,
+      RequestFacts facts,
+      Route route,
+      Optional<Organisation> organisation,
+      Responder responder,
+      Runnable onDone) {
+    this.services = checkNotNull(services, "services");
+    this.request = checkNotNull(request, "request");
+    this.facts = checkNotNull(facts, "facts");
+    this.route = checkNotNull(route, "route");
+    this.organisation = checkNotNull(organisation, "organisation");
+    this.responder = checkNotNull(responder, "responder");
+    this.onDone = checkNotNull(onDone, "onDone");
+    this.startNanos = now();
+    this.lastEvent = facts.resumeAfter();
+    long limitMillis = Math.min(route.timeoutMillis(), facts.deadlineMillis().orElse(Long.MAX_VALUE));
+    this.deadlineNanos = startNanos + limitMillis * NANOS_IN_MILLI;
+    this.timeout =
+        services.loop().schedule(this::onTimeout, limitMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Begins to lead the request. */
+  void start() {
+    askForPlace(organisation, isRepeatedByCaller());
+  }
+
+  /** The caller has left. */
+  void cancel() {
+    if (!done) {
+      log("cancelled");
+      endPlace(PlaceResult.CANCELLED);
+      finish();
+    }
+  }
+
+  /** Sends the request elsewhere if the backend server is silent for too long. */
+  void checkProgress(long nowNanos) {
+    exchange.ifPresent(current -> current.checkProgress(nowNanos));
+  }
+
+  /** Returns whether less time is left than the route gives, so that the caller tried before. */
+  private boolean isRepeatedByCaller() {
+    long given = facts.deadlineMillis().orElse(route.timeoutMillis());
+    return given < route.timeoutMillis() * 9 / 10;
+  }
+
+  private long now() {
+    return services.nanoClock().getAsLong();
+  }
+
+  private void askForPlace(Optional<Organisation> charged, boolean repeated) {
+    int rank =
+        organisation.map(Organisation::priority).orElse(0) * RANKS + route.priority();
+    long objective =
+        startNanos + (long) (route.targetMillis() * PLACE_WITHIN * NANOS_IN_MILLI);
+    WorkDemand demand =
+        new WorkDemand(
+            route.service(facts.requestId().hashCode()),
+            charged.map(Organisation::id),
+            rank,
+            false,
+            objective,
+            deadlineNanos,
+            repeated,
+            excluded,
+            facts.requestId());
+    place = services.placements().ask(demand, this);
+  }
+
+  @Override
+  public void placed(BackendServer backend) {
+    long left = deadlineNanos - now();
+    if (left < MIN_TIME_TO_SEND.toNanos()) {
+      endPlace(PlaceResult.CANCELLED);
+      onTimeout();
+      return;
+    }
+    HttpHeaders headers =
+        services
+            .dialect()
+            .toBackend(
+                HopHeaders.without(request.headers()),
+                backend,
+                organisation.map(Organisation::id),
+                left / NANOS_IN_MILLI,
+                lastEvent);
+    FullHttpRequest sent =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.uri(),
+            request.content().retainedDuplicate(),
+            headers,
+            EmptyHttpHeaders.INSTANCE);
+    if (request.content().isReadable()) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+    }
+    Exchange next = new Exchange(backend);
+    exchange = Optional.of(next);
+    services
+        .log()
+        .add(
+            "forward",
+            "placed",
+            "request",
+            facts.requestId(),
+            "backend",
+            backend.id(),
+            "waitedMillis",
+            (now() - startNanos) / NANOS_IN_MILLI);
+    next.cancellation = services.connections().send(backend, sent, next);
+  }
+
+  @Override
+  public void refused(RefusalReason reason, long retryAfterMillis) {
+    place = -1;
+    if (done) {
+      return;
+    }
+    if (answerBegun) {
+      // A stream that was cut finds no other place.
+      log("cut");
+      responder.breakOff();
+    } else if (runs > 0) {
+      log("failed");
+      responder.refuse(ErrorKind.BACKEND_FAILED, 0);
+    } else {
+      services
+          .log()
+          .add(
+              "forward",
+              "refused",
+              "request",
+              facts.requestId(),
+              "reason",
+              reason,
+              "retryAfterMillis",
+              retryAfterMillis);
+      responder.refuse(kindOf(reason), retryAfterMillis);
+    }
+    finish();
+  }
+
+  @Override
+  public void revoked() {
+    // Only batch items are interrupted.
+  }
+
+  private static ErrorKind kindOf(RefusalReason reason) {
+    return switch (reason) {
+      case TOO_LONG_A_WAIT -> ErrorKind.QUEUE_FULL;
+      case OVER_RATE -> ErrorKind.OVER_RATE;
+      case NO_BACKEND -> ErrorKind.NO_BACKEND_SERVER;
+    };
+  }
+
+  private void onTimeout() {
+    if (done) {
+      return;
+    }
+    log("timeout");
+    endPlace(PlaceResult.CANCELLED);
+    if (answerBegun) {
+      responder.breakOff();
+    } else if (runs > 0) {
+      responder.refuse(ErrorKind.BACKEND_TIMEOUT, 0);
+    } else {
+      responder.refuse(ErrorKind.QUEUE_FULL, 0);
+    }
+    finish();
+  }
+
+  private void endPlace(PlaceResult result) {
+    exchange.ifPresent(Exchange::cancel);
+    exchange = Optional.empty();
+    if (place >= 0) {
+      services.placements().finished(place, result);
+      place = -1;
+    }
+  }
+
+  private void finish() {
+    done = true;
+    timeout.cancel(false);
+    request.release();
+    onDone.run();
+  }
+
+  private void log(String event) {
+    services
+        .log()
+        .add(
+            "forward",
+            event,
+            "request",
+            facts.requestId(),
+            "route",
+            route.name(),
+            "runs",
+            runs,
+            "begun",
+            answerBegun,
+            "millis",
+            (now() - startNanos) / NANOS_IN_MILLI);
+  }
+
+  /** Sends the request again after a run that may have happened, or gives it up. */
+  private void afterRun(BackendServer backend, PlaceResult result) {
+    services
+        .log()
+        .add(
+            "forward",
+            "lost",
+            "request",
+            facts.requestId(),
+            "backend",
+            backend.id(),
+            "result",
+            result,
+            "event",
+            lastEvent.orElse(""));
+    endPlace(result);
+    excluded.add(backend.id());
+    boolean again = route.repeatable() && runs < Math.max(1, route.attempts());
+    if (again && deadlineNanos - now() > MIN_TIME_TO_SEND.toNanos()) {
+      askForPlace(Optional.empty(), true);
+      return;
+    }
+    log("failed");
+    if (answerBegun) {
+      responder.breakOff();
+    } else {
+      responder.refuse(ErrorKind.BACKEND_FAILED, 0);
+    }
+    finish();
+  }
+
+  /** Sends the request elsewhere after it certainly did not run. */
+  private void afterNoRun(BackendServer backend, PlaceResult result) {
+    services
+        .log()
+        .add(
+            "forward",
+            "unrun",
+            "request",
+            facts.requestId(),
+            "backend",
+            backend.id(),
+            "result",
+            result);
+    endPlace(result);
+    excluded.add(backend.id());
+    unrunSends++;
+    if (unrunSends < MAX_UNRUN_SENDS && deadlineNanos - now() > MIN_TIME_TO_SEND.toNanos()) {
+      askForPlace(Optional.empty(), true);
+      return;
+    }
+    if (answerBegun) {
+      responder.breakOff();
+    } else if (runs > 0) {
+      responder.refuse(ErrorKind.BACKEND_FAILED, 0);
+    } else {
+      responder.refuse(ErrorKind.QUEUE_FULL, route.targetMillis());
+    }
+    finish();
+  }
+
+  /** One send of the request to a backend server. */
+  private final class Exchange implements BackendExchange {
+    private final BackendServer backend;
+    private final EventStream events = new EventStream();
+    private final ByteBuf body = Unpooled.buffer(0);
+    private BackendConnections.Cancellation cancellation = () -> {};
+    private Optional<HttpResponse> head = Optional.empty();
+    private boolean notRun;
+    private boolean replaced;
+    private boolean streams;
+    private boolean ended;
+    private long progressNanos = now();
+
+    Exchange(BackendServer backend) {
+      this.backend = backend;
+    }
+
+    @Override
+    public String requestId() {
+      return facts.requestId();
+    }
+
+    void cancel() {
+      if (!ended) {
+        ended = true;
+        cancellation.cancel();
+      }
+    }
+
+    void checkProgress(long nowNanos) {
+      if (!route.repeatable() || runs + 1 >= Math.max(1, route.attempts())) {
+        return;
+      }
+      long limit =
+          answerBegun && streams
+              ? Duration.ofMillis(route.eventGapMillis()).plus(GAP_SLACK).toNanos()
+              : Math.max(
+                  MIN_FIRST_SIGN.toNanos(), 2 * route.targetMillis() * NANOS_IN_MILLI);
+      if (nowNanos - progressNanos > limit) {
+        runs++;
+        afterRun(backend, PlaceResult.STALLED);
+      }
+    }
+
+    @Override
+    public void onHead(HttpResponse received, AnswerFacts answer) {
+      progressNanos = now();
+      head = Optional.of(received);
+      notRun = answer.notRun();
+      replaced = answer.replaced();
+      streams =
+          route.streams()
+              && received.status().code() == HttpResponseStatus.OK.code()
+              && !notRun;
+    }
+
+    @Override
+    public void onBody(ByteBuf part) {
+      progressNanos = now();
+      if (!streams) {
+        body.writeBytes(part);
+        return;
+      }
+      for (EventStream.Event event : events.take(part)) {
+        pass(event);
+      }
+    }
+
+    private void pass(EventStream.Event event) {
+      if (event.id().isPresent() && isPassed(event.id().get())) {
+        return;
+      }
+      if (!answerBegun) {
+        answerBegun = true;
+        HttpHeaders headers = HopHeaders.without(head.get().headers());
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        responder.begin(head.get().status(), headers);
+      }
+      if (event.id().isPresent()) {
+        lastEvent = event.id();
+      }
+      responder.part(Unpooled.wrappedBuffer(event.bytes()));
+    }
+
+    /** Returns whether an event is one that the caller has already. */
+    private boolean isPassed(String id) {
+      if (lastEvent.isEmpty()) {
+        return false;
+      }
+      try {
+        return Long.parseLong(id) <= Long.parseLong(lastEvent.get());
+      } catch (NumberFormatException e) {
+        return id.equals(lastEvent.get());
+      }
+    }
+
+    @Override
+    public void onEnd() {
+      ended = true;
+      if (done) {
+        return;
+      }
+      if (replaced || notRun) {
+        afterNoRun(backend, replaced ? PlaceResult.REPLACED : PlaceResult.NOT_RUN);
+      } else if (streams) {
+        endStream();
+      } else {
+        endWhole();
+      }
+    }
+
+    private void endStream() {
+      runs++;
+      if (events.isInsideEvent()) {
+        afterRun(backend, PlaceResult.FAILED);
+        return;
+      }
+      log("answered");
+      endPlace(PlaceResult.ANSWERED);
+      if (!answerBegun) {
+        answerBegun = true;
+        responder.begin(head.get().status(), HopHeaders.without(head.get().headers()));
+      }
+      responder.end();
+      finish();
+    }
+
+    private void endWhole() {
+      runs++;
+      HttpResponse answer = head.get();
+      boolean failed = answer.status().code() >= 500;
+      if (failed && route.repeatable() && runs < Math.max(1, route.attempts())) {
+        afterRun(backend, PlaceResult.FAILED);
+        return;
+      }
+      if (answerBegun) {
+        afterRun(backend, PlaceResult.FAILED);
+        return;
+      }
+      log(failed ? "failed by backend" : "answered");
+      endPlace(failed ? PlaceResult.FAILED : PlaceResult.ANSWERED);
+      responder.answer(answer.status(), HopHeaders.without(answer.headers()), body);
+      finish();
+    }
+
+    @Override
+    public void onBroken(boolean sent) {
+      ended = true;
+      if (done) {
+        return;
+      }
+      if (replaced || notRun) {
+        afterNoRun(backend, replaced ? PlaceResult.REPLACED : PlaceResult.NOT_RUN);
+      } else if (sent) {
+        runs++;
+        afterRun(backend, PlaceResult.FAILED);
+      } else {
+        afterNoRun(backend, PlaceResult.FAILED);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/RequestFacts.java
@@ -0,0 +1,28 @@
+package org.trefoilbarrow.transport.forward;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What a request says of itself.
+ *
+ * @param requestId the caller's identifier of this attempt; empty if there is none
+ * @param key the caller's key, if the request has one
+ * @param deadlineMillis how long the caller waits, if the request says so
+ * @param resumeAfter the last event that the caller has, if it continues a stream
+ */
+public record RequestFacts(
+    String requestId,
+    Optional<String> key,
+    OptionalLong deadlineMillis,
+    Optional<String> resumeAfter) {
+  /** Checks the components. */
+  public RequestFacts {
+    checkNotNull(requestId, "requestId");
+    checkNotNull(key, "key");
+    checkNotNull(deadlineMillis, "deadlineMillis");
+    checkNotNull(resumeAfter, "resumeAfter");
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobObjects.java
@@ -0,0 +1,135 @@
+package org.trefoilbarrow.transport.jobs;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.base.Splitter;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.trefoilbarrow.protocol.JobId;
+import org.trefoilbarrow.protocol.JsonCodec;
+import org.trefoilbarrow.protocol.RequestJob;
+import org.trefoilbarrow.protocol.RequestJob.ResultPart;
+import org.trefoilbarrow.state.ConfirmedWrites;
+import org.trefoilbarrow.state.ObjectKind;
+import org.trefoilbarrow.state.Platform;
+import org.trefoilbarrow.state.VersionedObject;
+import org.trefoilbarrow.state.WriteOutcome;
+
+/**
+ * The objects of a job: the job itself, its numbered parts of results, and its end. All are only
+ * ever created, under names that follow from the job, so that a repeated or late write is harmless.
+ * A job that is too large for one object is kept in numbered pieces that are written first.
+ *
+ * <p>Methods make calls to the platform and wait for them. Thread-safe.
+ */
+public final class JobObjects {
+  /** The most characters of one object, below the platform's bound on a value. */
+  static final int MAX_OBJECT_CHARACTERS = 700_000;
+
+  private static final String PIECES = "pieces:";
+
+  private final Platform platform;
+  private final ConfirmedWrites writes;
+
+  /** Creates the access to the objects of jobs. */
+  public JobObjects(Platform platform) {
+    this.platform = checkNotNull(platform, "platform");
+    this.writes =
+        new ConfirmedWrites(platform, (Duration time) -> Thread.sleep(time.toMillis()));
+  }
+
+  /** Returns the number of a part from the name of its object, or -1. */
+  static int partNumber(String name) {
+    try {
+      return Integer.parseInt(name.substring(name.lastIndexOf('.') + 1));
+    } catch (NumberFormatException e) {
+      return -1;
+    }
+  }
+
+  /** Returns the job to which a part belongs, from the name of its object. */
+  static JobId jobOfPart(String name) {
+    return JobId.of(name.substring(0, Math.max(1, name.lastIndexOf('.'))));
+  }
+
+  /** Keeps a job; a job that was kept before is a conflict. */
+  WriteOutcome create(RequestJob job, int attempts) {
+    String text = JsonCodec.encode(job);
+    if (text.length() > MAX_OBJECT_CHARACTERS) {
+      String digest = Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+      List<String> pieces = Splitter.fixedLength(MAX_OBJECT_CHARACTERS).splitToList(text);
+      for (int index = 0; index < pieces.size(); index++) {
+        WriteOutcome outcome =
+            writes.write(
+                ObjectKind.JOB_PIECE, digest + "." + index, 0, quote(pieces.get(index)), attempts);
+        if (!outcome.isApplied() && outcome.result() != WriteOutcome.Result.CONFLICT) {
+          // Pieces alone make no job.
+          return new WriteOutcome(WriteOutcome.Result.NOT_SENT, 0);
+        }
+      }
+      text = quote(PIECES + digest + ":" + pieces.size());
+    }
+    return writes.write(ObjectKind.JOB, job.id().value(), Platform.ABSENT, text, attempts);
+  }
+
+  /** Makes results visible under the given number; a number that is taken is a conflict. */
+  WriteOutcome createPart(JobId job, int number, ResultPart part, int attempts) {
+    return writes.write(
+        ObjectKind.RESULT, partName(job, number), Platform.ABSENT, JsonCodec.encode(part), attempts);
+  }
+
+  /** Keeps the end of a job. */
+  WriteOutcome createEnd(JobId job, int attempts) {
+    return writes.write(
+        ObjectKind.JOB_END, job.value(), Platform.ABSENT, "\"ended\"", attempts);
+  }
+
+  /** Returns a part of results, if it exists. */
+  Optional<ResultPart> readPart(JobId job, int number) {
+    return platform
+        .read(ObjectKind.RESULT, partName(job, number))
+        .map(VersionedObject::value)
+        .map(JobObjects::decodePart);
+  }
+
+  /** Returns the job that an object states, reading its pieces where it has any. */
+  RequestJob decode(String value) {
+    String text = value;
+    if (value.startsWith("\"")) {
+      List<String> reference = Splitter.on(':').splitToList(JsonCodec.decode(value, String.class));
+      StringBuilder whole = new StringBuilder();
+      int count = Integer.parseInt(reference.get(2));
+      for (int index = 0; index < count; index++) {
+        String name = reference.get(1) + "." + index;
+        String piece =
+            platform
+                .read(ObjectKind.JOB_PIECE, name)
+                .map(VersionedObject::value)
+                .orElseThrow(() -> new IllegalStateException("a piece of a job is missing"));
+        whole.append(JsonCodec.decode(piece, String.class));
+      }
+      text = whole.toString();
+    }
+    return JsonCodec.decode(text, RequestJob.class);
+  }
+
+  static ResultPart decodePart(String value) {
+    return JsonCodec.decode(value, ResultPart.class);
+  }
+
+  /** Returns a job, if the platform keeps it. */
+  Optional<RequestJob> read(JobId job) {
+    return platform.read(ObjectKind.JOB, job.value()).map(VersionedObject::value).map(this::decode);
+  }
+
+  private static String partName(JobId job, int number) {
+    return String.format("%s.%04d", job.value(), number);
+  }
+
+  private static String quote(String text) {
+    return JsonCodec.encode(text);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobReads.java
@@ -0,0 +1,44 @@
+package org.trefoilbarrow.transport.jobs;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.protocol.JobId;
+import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.transport.link.Placements;
+import org.trefoilbarrow.transport.link.generated.JobReadMessage;
+import org.trefoilbarrow.transport.link.generated.LinkMessage;
+
+/** Answers reads of jobs that other hosts send. */
+public final class JobReads implements Placements.PeerMessages {
+  private final JobTable table;
+
+  /** Creates the answers from a table. */
+  public JobReads(JobTable table) {
+    this.table = checkNotNull(table, "table");
+  }
+
+  @Override
+  public void received(HostId from, LinkMessage message, Reply reply) {
+    if (!message.isSetJobRead()) {
+      return;
+    }
+    JobReadMessage read = message.getJobRead();
+    JobId job = JobId.of(read.getJob());
+    OrganisationId organisation = OrganisationId.of(read.getOrganisation());
+    if (read.isSetItem()) {
+      table.readItem(
+          job,
+          organisation,
+          read.getItem(),
+          answer -> reply.send(JobMessages.toMessage(read.getRead(), answer)));
+    } else {
+      table.read(
+          job,
+          organisation,
+          read.getPosition(),
+          read.getWaitMillis(),
+          answer -> reply.send(JobMessages.toMessage(read.getRead(), answer)));
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
@@ -0,0 +1,524 @@
+package org.trefoilbarrow.transport.link;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.trefoilbarrow.coordination.dispatch.Decision;
+import org.trefoilbarrow.coordination.dispatch.Demand;
+import org.trefoilbarrow.coordination.dispatch.DemandId;
+import org.trefoilbarrow.coordination.dispatch.Dispatcher;
+import org.trefoilbarrow.coordination.dispatch.PlaceResult;
+import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.protocol.BackendServerId;
+import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.state.fleet.BackendServer;
+import org.trefoilbarrow.state.fleet.FleetView;
+import org.trefoilbarrow.transport.link.generated.DemandMessage;
+import org.trefoilbarrow.transport.link.generated.FinishedMessage;
+import org.trefoilbarrow.transport.link.generated.HelloMessage;
+import org.trefoilbarrow.transport.link.generated.LinkMessage;
+import org.trefoilbarrow.transport.link.generated.PlacedMessage;
+import org.trefoilbarrow.transport.link.generated.PulseMessage;
+import org.trefoilbarrow.transport.link.generated.RefusedMessage;
+import org.trefoilbarrow.transport.link.generated.RevokedMessage;
+
+/**
+ * Gets places for the work of this host from the host that dispatches for all.
+ *
+ * <p>All hosts order the hosts that may dispatch alike and use the first that answers, best one that
+ * follows the platform. While none answers, the host dispatches for itself with its part of each
+ * limit. When the dispatching host changes, work that waits is asked for again and work that runs
+ * is reported. Used by the thread of the event loop alone.
+ */
+public final class Placements {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration BIND_AGAIN = Duration.ofMillis(300);
+  private static final long NANOS_IN_MILLI = 1_000_000;
+
+  private final EventLoop loop;
+  private final PeerAddress self;
+  private final FleetView fleet;
+  private final Dispatcher dispatcher;
+  private final BooleanSupplier fit;
+  private final LongSupplier nanoClock;
+  private final Map<Long, Call> calls = new LinkedHashMap<>();
+  private final Map<HostId, Link> links = new LinkedHashMap<>();
+  private final Map<HostId, Channel> clients = new HashMap<>();
+  private final Map<HostId, PeerAddress> peers = new HashMap<>();
+  private final Set<HostId> callerHosts = new HashSet<>();
+  private final List<Runnable> onPeersChanged = new ArrayList<>();
+  private PeerMessages peerMessages = PeerMessages.NONE;
+  private Optional<HostId> current = Optional.empty();
+  private boolean chosen;
+  private long nextCall;
+
+  /** Takes the messages of a link that do not concern places. */
+  public interface PeerMessages {
+    /** Ignores all messages. */
+    PeerMessages NONE = (from, message, reply) -> {};
+
+    /** Takes a message. */
+    void received(HostId from, LinkMessage message, Reply reply);
+
+    /** Sends an answer on the connection of the question. */
+    @FunctionalInterface
+    interface Reply {
+      /** Sends a message. */
+      void send(LinkMessage message);
+    }
+  }
+
+  private static final class Call {
+    final WorkDemand demand;
+    final PlaceListener listener;
+    Optional<BackendServerId> backend = Optional.empty();
+
+    Call(WorkDemand demand, PlaceListener listener) {
+      this.demand = demand;
+      this.listener = listener;
+    }
+  }
+
+  /** Creates the placements of a host. */
+  public Placements(
+      EventLoop loop,
+      PeerAddress self,
+      FleetView fleet,
+      Dispatcher dispatcher,
+      BooleanSupplier fit,
+      LongSupplier nanoClock) {
+    this.loop = checkNotNull(loop, "loop");
+    this.self = checkNotNull(self, "self");
+    this.fleet = checkNotNull(fleet, "fleet");
+    this.dispatcher = checkNotNull(dispatcher, "dispatcher");
+    this.fit = checkNotNull(fit, "fit");
+    this.nanoClock = checkNotNull(nanoClock, "nanoClock");
+  }
+
+  /** Begins to work; a host that does not serve callers accepts links. */
+  public void start() {
+    if (!self.servesCallers()) {
+      listen();
+    }
+    loop.scheduleAtFixedRate(
+        () -> apply(dispatcher.tick(nanoClock.getAsLong())),
+        TICK.toMillis(),
+        TICK.toMillis(),
+        TimeUnit.MILLISECONDS);
+    choose();
+  }
+
+  /** Sets who takes the messages that do not concern places. */
+  public void setPeerMessages(PeerMessages messages) {
+    this.peerMessages = checkNotNull(messages, "messages");
+  }
+
+  /** Runs a task whenever the hosts that answer have changed. */
+  public void onPeersChanged(Runnable task) {
+    onPeersChanged.add(task);
+  }
+
+  /** Replaces the hosts that the platform lists. */
+  public void setPeers(Collection<PeerAddress> listed) {
+    Map<HostId, PeerAddress> wanted = new HashMap<>();
+    callerHosts.clear();
+    for (PeerAddress peer : listed) {
+      if (peer.servesCallers()) {
+        callerHosts.add(peer.host());
+      } else if (!peer.host().equals(self.host())) {
+        wanted.put(peer.host(), peer);
+      }
+    }
+    for (Link link : ImmutableList.copyOf(links.values())) {
+      if (!link.peer().equals(wanted.get(link.peer().host()))) {
+        links.remove(link.peer().host());
+        link.close();
+      }
+    }
+    peers.clear();
+    peers.putAll(wanted);
+    for (PeerAddress peer : wanted.values()) {
+      links.computeIfAbsent(peer.host(), host -> connect(peer));
+    }
+    choose();
+  }
+
+  /** Returns the hosts other than this one that may run jobs and answer, best those that are fit. */
+  public ImmutableList<PeerAddress> livePeers(boolean fitOnly) {
+    return links.values().stream()
+        .filter(link -> fitOnly ? link.isFit() : link.isLive())
+        .map(Link::peer)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Sends a message to a host; it is lost if the link is. */
+  public void send(HostId host, LinkMessage message) {
+    Link link = links.get(host);
+    if (link != null) {
+      link.send(message);
+    }
+  }
+
+  /**
+   * Asks for a place.
+   *
+   * @return the number by which the work is ended
+   */
+  public long ask(WorkDemand demand, PlaceListener listener) {
+    long number = nextCall++;
+    Call call = new Call(demand, listener);
+    calls.put(number, call);
+    submit(number, call);
+    return number;
+  }
+
+  /** Ends work, whether it waits or runs. */
+  public void finished(long number, PlaceResult result) {
+    if (calls.remove(number) == null) {
+      return;
+    }
+    report(number, result);
+  }
+
+  /** Looks at waiting work again after the fleet has changed. */
+  public void fleetChanged() {
+    apply(dispatcher.tick(nanoClock.getAsLong()));
+  }
+
+  private Link connect(PeerAddress peer) {
+    HelloMessage hello =
+        new HelloMessage(self.host().value(), self.servesCallers(), self.startedMillis());
+    return new Link(loop, peer, hello, fit, nanoClock, this::choose, this::heard);
+  }
+
+  private DemandId localId(long number) {
+    return new DemandId(self.host(), number);
+  }
+
+  private void choose() {
+    List<HostId> fitHosts = new ArrayList<>();
+    List<HostId> liveHosts = new ArrayList<>();
+    for (Link link : links.values()) {
+      if (link.isLive()) {
+        liveHosts.add(link.peer().host());
+      }
+      if (link.isFit()) {
+        fitHosts.add(link.peer().host());
+      }
+    }
+    if (!self.servesCallers()) {
+      liveHosts.add(self.host());
+      if (fit.getAsBoolean()) {
+        fitHosts.add(self.host());
+      }
+    }
+    List<HostId> candidates = fitHosts.isEmpty() ? liveHosts : fitHosts;
+    Optional<HostId> best =
+        candidates.stream()
+            .min(Comparator.comparing(HostId::value))
+            .filter(host -> !host.equals(self.host()));
+    if (!chosen || !best.equals(current)) {
+      chosen = true;
+      move(best);
+    }
+    setPart();
+    onPeersChanged.forEach(Runnable::run);
+  }
+
+  private void move(Optional<HostId> best) {
+    logger.atInfo().log(
+        "dispatch: places come from %s, %d calls", best.map(HostId::value).orElse("here"),
+        calls.size());
+    if (current.isEmpty()) {
+      dispatcher.hostRestarted(self.host());
+    }
+    current = best;
+    if (best.isPresent()) {
+      // A host that took us for lost still counts what we ran; the greeting clears it.
+      send(
+          best.get(),
+          LinkMessage.hello(
+              new HelloMessage(self.host().value(), self.servesCallers(), self.startedMillis())));
+    }
+    ImmutableList.copyOf(calls.entrySet())
+        .forEach(entry -> submit(entry.getKey(), entry.getValue()));
+  }
+
+  private void setPart() {
+    int all = Math.max(1, callerHosts.size());
+    double part;
+    if (self.servesCallers()) {
+      part = 1.0 / all;
+    } else {
+      long connected = clients.keySet().stream().filter(callerHosts::contains).count();
+      part = Math.max(1, Math.min(all, connected)) / (double) all;
+    }
+    dispatcher.setPart(part);
+  }
+
+  private void submit(long number, Call call) {
+    WorkDemand demand = call.demand;
+    long now = nanoClock.getAsLong();
+    if (current.isEmpty()) {
+      Demand local = toDemand(localId(number), demand);
+      if (call.backend.isPresent()) {
+        dispatcher.adopt(local, call.backend.get(), now);
+      } else {
+        apply(dispatcher.submit(local, now));
+      }
+      return;
+    }
+    DemandMessage message =
+        new DemandMessage(
+            number,
+            demand.service(),
+            demand.priority(),
+            demand.batch(),
+            (demand.objectiveNanos() - now) / NANOS_IN_MILLI,
+            (demand.deadlineNanos() - now) / NANOS_IN_MILLI,
+            0,
+            demand.repeated(),
+            demand.request());
+    demand.organisation().ifPresent(id -> message.setOrganisation(id.value()));
+    if (!demand.excluded().isEmpty()) {
+      message.setExcluded(demand.excluded().stream().map(BackendServerId::value).toList());
+    }
+    call.backend.ifPresent(backend -> message.setRunningOn(backend.value()));
+    send(current.get(), LinkMessage.demand(message));
+  }
+
+  private static Demand toDemand(DemandId id, WorkDemand demand) {
+    return new Demand(
+        id,
+        demand.service(),
+        demand.organisation(),
+        demand.priority(),
+        demand.batch(),
+        demand.objectiveNanos(),
+        demand.deadlineNanos(),
+        demand.repeated(),
+        demand.excluded());
+  }
+
+  private void heard(LinkMessage message) {
+    if (message.isSetPlaced()) {
+      placed(message.getPlaced().getCall(), BackendServerId.of(message.getPlaced().getBackend()));
+    } else if (message.isSetRefused()) {
+      RefusedMessage refused = message.getRefused();
+      refused(
+          refused.getCall(),
+          RefusalReason.values()[refused.getReason()],
+          refused.getRetryAfterMillis());
+    } else if (message.isSetRevoked()) {
+      revoked(message.getRevoked().getCall());
+    } else {
+      peerMessages.received(self.host(), message, answer -> {});
+    }
+  }
+
+  private void placed(long number, BackendServerId id) {
+    Call call = calls.get(number);
+    if (call == null) {
+      return;
+    }
+    Optional<BackendServer> backend = fleet.backend(id);
+    if (backend.isEmpty()) {
+      // The dispatching host knows a server that this host has not heard of, or no longer lists.
+      calls.remove(number);
+      report(number, PlaceResult.CANCELLED);
+      Call again = new Call(call.demand.without(id), call.listener);
+      calls.put(number, again);
+      submit(number, again);
+      return;
+    }
+    call.backend = Optional.of(id);
+    call.listener.placed(backend.get());
+  }
+
+  private void report(long number, PlaceResult result) {
+    if (current.isPresent()) {
+      send(current.get(), LinkMessage.finished(new FinishedMessage(number, result.ordinal())));
+    } else {
+      apply(dispatcher.finished(localId(number), result, nanoClock.getAsLong()));
+    }
+  }
+
+  private void refused(long number, RefusalReason reason, long retryAfterMillis) {
+    Call call = calls.remove(number);
+    if (call != null) {
+      call.listener.refused(reason, retryAfterMillis);
+    }
+  }
+
+  private void revoked(long number) {
+    Call call = calls.get(number);
+    if (call != null) {
+      call.listener.revoked();
+    }
+  }
+
+  private void apply(ImmutableList<Decision> decisions) {
+    for (Decision decision : decisions) {
+      DemandId id = decision.demand();
+      if (id.host().equals(self.host())) {
+        applyHere(decision);
+      } else {
+        Channel channel = clients.get(id.host());
+        if (channel != null) {
+          channel.writeAndFlush(toMessage(decision), channel.voidPromise());
+        }
+      }
+    }
+  }
+
+  private void applyHere(Decision decision) {
+    // Run later: a listener may ask again, and the dispatcher is in the middle of its decisions.
+    loop.execute(
+        () -> {
+          if (decision instanceof Decision.Placed placed) {
+            placed(placed.demand().call(), placed.backend());
+          } else if (decision instanceof Decision.Refused refused) {
+            refused(refused.demand().call(), refused.reason(), refused.retryAfterMillis());
+          } else {
+            revoked(decision.demand().call());
+          }
+        });
+  }
+
+  private static LinkMessage toMessage(Decision decision) {
+    long call = decision.demand().call();
+    if (decision instanceof Decision.Placed placed) {
+      return LinkMessage.placed(new PlacedMessage(call, placed.backend().value()));
+    }
+    if (decision instanceof Decision.Refused refused) {
+      return LinkMessage.refused(
+          new RefusedMessage(call, refused.reason().ordinal(), refused.retryAfterMillis()));
+    }
+    return LinkMessage.revoked(new RevokedMessage(call));
+  }
+
+  private void listen() {
+    new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel created) throws Exception {
+                LinkPipeline.install(created.pipeline(), new ClientHandler());
+              }
+            })
+        .bind(self.address(), self.port())
+        .addListener(
+            done -> {
+              if (!done.isSuccess()) {
+                logger.atSevere().withCause(done.cause()).log("link: cannot listen");
+                loop.schedule(this::listen, BIND_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
+  /** Serves one host that asks for places. */
+  private final class ClientHandler extends SimpleChannelInboundHandler<LinkMessage> {
+    private Optional<HostId> client = Optional.empty();
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, LinkMessage message) {
+      if (message.isSetPulse()) {
+        PulseMessage answer =
+            new PulseMessage(message.getPulse().getNumber(), true, fit.getAsBoolean());
+        context.writeAndFlush(LinkMessage.pulse(answer));
+      } else if (message.isSetHello()) {
+        HostId host = HostId.of(message.getHello().getHost());
+        client = Optional.of(host);
+        clients.put(host, context.channel());
+        dispatcher.hostRestarted(host);
+        setPart();
+      } else if (client.isPresent()) {
+        serve(client.get(), message, context);
+      }
+    }
+
+    private void serve(HostId host, LinkMessage message, ChannelHandlerContext context) {
+      long now = nanoClock.getAsLong();
+      if (message.isSetDemand()) {
+        demanded(host, message.getDemand(), now);
+      } else if (message.isSetFinished()) {
+        FinishedMessage finished = message.getFinished();
+        apply(
+            dispatcher.finished(
+                new DemandId(host, finished.getCall()),
+                PlaceResult.values()[finished.getResult()],
+                now));
+      } else {
+        peerMessages.received(host, message, context::writeAndFlush);
+      }
+    }
+
+    private void demanded(HostId host, DemandMessage message, long now) {
+      DemandId id = new DemandId(host, message.getCall());
+      Set<BackendServerId> excluded = new HashSet<>();
+      if (message.isSetExcluded()) {
+        message.getExcluded().forEach(backend -> excluded.add(BackendServerId.of(backend)));
+      }
+      Demand demand =
+          new Demand(
+              id,
+              message.getTarget(),
+              message.isSetOrganisation()
+                  ? Optional.of(OrganisationId.of(message.getOrganisation()))
+                  : Optional.empty(),
+              message.getPriority(),
+              message.isBatch(),
+              now + message.getObjectiveMillis() * NANOS_IN_MILLI,
+              now + message.getRemainingMillis() * NANOS_IN_MILLI,
+              message.isRepeated(),
+              excluded);
+      if (message.isSetRunningOn()) {
+        dispatcher.adopt(demand, BackendServerId.of(message.getRunningOn()), now);
+      } else {
+        apply(dispatcher.submit(demand, now));
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      if (client.isPresent() && clients.remove(client.get(), context.channel())) {
+        dispatcher.hostLost(client.get(), nanoClock.getAsLong());
+        setPart();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      logger.atFine().withCause(cause).log("link: a client failed");
+      context.close();
+    }
+  }
+}
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
@@ -22,7 +22,7 @@
  */
 public final class CollectionWatcher implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration WATCH_WAIT = Duration.ofSeconds(20);
+  private static final Duration DEFAULT_WATCH_WAIT = Duration.ofSeconds(20);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
   private static final Duration MAX_BACKOFF = Duration.ofSeconds(1);
 
@@ -31,6 +31,7 @@
   private final Consumer<ObjectPage> onWhole;
   private final Consumer<ChangeBatch> onChanges;
   private final Runnable onOutage;
+  private final Duration watchWait;
   private final CountDownLatch firstRead = new CountDownLatch(1);
   private final Thread thread;
   private volatile boolean closed;
@@ -48,11 +49,28 @@
       Consumer<ObjectPage> onWhole,
       Consumer<ChangeBatch> onChanges,
       Runnable onOutage) {
+    this(platform, kind, onWhole, onChanges, onOutage, DEFAULT_WATCH_WAIT);
+  }
+
+  /**
+   * Creates a watcher whose watches wait for the given time; {@link #start} begins its work.
+   *
+   * @param watchWait the longest time of one watch, which bounds how long a silent connection goes
+   *     unnoticed
+   */
+  public CollectionWatcher(
+      Platform platform,
+      ObjectKind kind,
+      Consumer<ObjectPage> onWhole,
+      Consumer<ChangeBatch> onChanges,
+      Runnable onOutage,
+      Duration watchWait) {
     this.platform = checkNotNull(platform, "platform");
     this.kind = checkNotNull(kind, "kind");
     this.onWhole = checkNotNull(onWhole, "onWhole");
     this.onChanges = checkNotNull(onChanges, "onChanges");
     this.onOutage = checkNotNull(onOutage, "onOutage");
+    this.watchWait = checkNotNull(watchWait, "watchWait");
     this.thread = new Thread(this::run, "watch-" + kind.collection());
     this.thread.setDaemon(true);
   }
@@ -99,7 +117,7 @@
   }
 
   private long follow(long revision) {
-    Optional<ChangeBatch> batch = platform.watch(kind, revision, WATCH_WAIT);
+    Optional<ChangeBatch> batch = platform.watch(kind, revision, watchWait);
     if (batch.isEmpty()) {
       logger.atInfo().log("platform: watch of %s fell behind", kind.collection());
       return -1;
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/HttpPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/HttpPlatform.java
@@ -4,21 +4,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
-import com.google.common.util.concurrent.RateLimiter;
 import java.io.IOException;
-import java.net.ConnectException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
-import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.classic.methods.HttpDelete;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPut;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
-import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -26,14 +21,12 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
-import org.apache.hc.core5.util.Timeout;
 import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ObjectChange;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.ObjectPage;
 import org.trefoilbarrow.state.Platform;
-import org.trefoilbarrow.state.PlatformException;
 import org.trefoilbarrow.state.VersionedObject;
 
 /**
@@ -48,19 +41,9 @@
   private static final int GONE = 410;
   private static final Duration WATCH_GRACE = Duration.ofSeconds(2);
 
-  private final CloseableHttpClient client;
   private final String address;
   private final Duration timeout;
-  private final RateLimiter budget;
-  private final LongSupplier nanoClock;
-  private final AtomicLong lastAnswerNanos;
-  private final AtomicLong calls = new AtomicLong();
-
-  /** Turns an answer into a value. */
-  @FunctionalInterface
-  private interface Reader<T> {
-    T read(ClassicHttpResponse response) throws IOException;
-  }
+  private final PlatformCalls calls;
 
   /**
    * Creates a client.
@@ -75,27 +58,24 @@
       Duration timeout,
       double callsPerSecond,
       LongSupplier nanoClock) {
-    this.client = checkNotNull(client, "client");
     this.address = checkNotNull(address, "address");
     this.timeout = checkNotNull(timeout, "timeout");
-    this.budget = RateLimiter.create(callsPerSecond);
-    this.nanoClock = checkNotNull(nanoClock, "nanoClock");
-    this.lastAnswerNanos = new AtomicLong(nanoClock.getAsLong());
+    this.calls = new PlatformCalls(client, timeout, callsPerSecond, nanoClock);
   }
 
   /** Returns when the platform last answered, by the clock given to the constructor. */
   public long lastAnswerNanos() {
-    return lastAnswerNanos.get();
+    return calls.lastAnswerNanos();
   }
 
   /** Returns the number of calls made so far. */
   public long calls() {
-    return calls.get();
+    return calls.count();
   }
 
   @Override
   public Optional<VersionedObject> read(ObjectKind kind, String name) {
-    return call(
+    return calls.call(
         new HttpGet(objectPath(kind, name)),
         timeout,
         response -> {
@@ -114,14 +94,14 @@
     HttpPut request = new HttpPut(objectPath(kind, name));
     expect(request, expectedVersion);
     request.setEntity(new StringEntity(value, ContentType.APPLICATION_JSON));
-    return call(request, timeout, HttpPlatform::writtenVersion);
+    return calls.call(request, timeout, HttpPlatform::writtenVersion);
   }
 
   @Override
   public Optional<Long> delete(ObjectKind kind, String name, long expectedVersion) {
     HttpDelete request = new HttpDelete(objectPath(kind, name));
     expect(request, expectedVersion);
-    return call(request, timeout, HttpPlatform::writtenVersion);
+    return calls.call(request, timeout, HttpPlatform::writtenVersion);
   }
 
   @Override
@@ -130,7 +110,7 @@
         String.format(
             "%s/objects/%s?prefix=%s&after=%s&limit=%d",
             address, kind.collection(), encode(prefix), encode(after), limit);
-    return call(
+    return calls.call(
         new HttpGet(path),
         timeout,
         response -> {
@@ -155,7 +135,7 @@
         String.format(
             "%s/watch/%s?after=%d&waitMillis=%d",
             address, kind.collection(), afterRevision, wait.toMillis());
-    return call(
+    return calls.call(
         new HttpGet(path),
         wait.plus(WATCH_GRACE),
         response -> {
@@ -180,25 +160,6 @@
     return new ChangeBatch(batch.path("revision").asLong(), changes.build());
   }
 
-  private <T> T call(HttpUriRequestBase request, Duration answerTimeout, Reader<T> reader) {
-    budget.acquire();
-    calls.incrementAndGet();
-    request.setConfig(
-        RequestConfig.custom()
-            .setResponseTimeout(Timeout.of(answerTimeout))
-            .setConnectionRequestTimeout(Timeout.of(timeout))
-            .build());
-    try {
-      T value = client.execute(request, reader::read);
-      lastAnswerNanos.set(nanoClock.getAsLong());
-      return value;
-    } catch (ConnectException | ConnectTimeoutException e) {
-      throw new PlatformException("platform is not reachable", e, true);
-    } catch (IOException e) {
-      throw new PlatformException("platform did not answer " + request.getMethod(), e, false);
-    }
-  }
-
   private static Optional<Long> writtenVersion(ClassicHttpResponse response) throws IOException {
     EntityUtils.consume(response.getEntity());
     if (response.getCode() == CONFLICT) {
