--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -103,6 +103,7 @@
   private Optional<JobRunner> runner = Optional.empty();
   private int watched;
   private volatile boolean leaving;
+  private volatile double shutdownSeconds;
 
   /** Creates a host; {@link #start} begins its work. */
   public FleetHost(
@@ -117,6 +118,7 @@
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.milliClock = checkNotNull(milliClock, "milliClock");
     this.startNanos = nanoClock.getAsLong();
+    this.shutdownSeconds = settings.shutdownSeconds();
     this.platform =
         adapter.connect(settings.platform(), settings.platformCallsPerSecond(), nanoClock);
     this.self =
@@ -129,7 +131,7 @@
     Dispatcher dispatcher =
         new Dispatcher(
             fleet, DispatchRules.DEFAULT, () -> ThreadLocalRandom.current().nextDouble());
-    this.placements = new Placements(loop, self, fleet, dispatcher, this::isFit, nanoClock);
+    this.placements = new Placements(loop, self, fleet, dispatcher, this::isFit, nanoClock, log);
     this.objects = new JobObjects(platform);
     this.table = new JobTable(loop, objects, executor, !settings.servesCallers());
     this.services =
@@ -158,12 +160,20 @@
     }
   }
 
+  /** Reads the settings anew and takes what can change while the host runs. */
+  public void reload(FleetHostSettings changed) {
+    boolean sameIdentity =
+        changed.name().equals(settings.name()) && changed.platform().equals(settings.platform());
+    shutdownSeconds = changed.shutdownSeconds();
+    log.add("host", "reload", "host", self.host(), "needsRestart", !sameIdentity);
+  }
+
   /** Ends: announces it, lets running work finish, and closes what is left when time is up. */
   public void stop() {
     leaving = true;
     log.add("host", "stop", "host", self.host());
     long begin = nanoClock.getAsLong();
-    long limit = Duration.ofMillis((long) (settings.shutdownSeconds() * 1000)).toNanos();
+    long limit = Duration.ofMillis((long) (shutdownSeconds * 1000)).toNanos();
     loop.execute(
         () -> {
           ingress.ifPresent(Ingress::beginDraining);
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -191,6 +191,23 @@
     return running.size();
   }
 
+  /** Returns what each service's work does, for logs. */
+  public String describe() {
+    StringBuilder text = new StringBuilder();
+    queues.forEach(
+        (service, queue) ->
+            text.append(
+                String.format(
+                    "%s online %d late %d batch %d places %d free %d; ",
+                    service,
+                    queue.online.size(),
+                    queue.late.size(),
+                    queue.batch.size(),
+                    places(service),
+                    freePlaces(service))));
+    return text.toString().trim();
+  }
+
   private void dropWaiting(HostId host) {
     waiting
         .values()
--- a/server/src/main/java/org/trefoilbarrow/transport/backend/HttpClients.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/backend/HttpClients.java
@@ -15,6 +15,12 @@
   private static final TimeValue VALIDATE_IDLE_AFTER = TimeValue.ofMilliseconds(500);
   private static final TimeValue MAX_IDLE = TimeValue.ofSeconds(20);
 
+  /** After how many seconds of silence a connection is probed, and how often. */
+  private static final int KEEP_ALIVE_SECONDS = 1;
+
+  /** After how many unanswered probes a connection is taken for dead. */
+  private static final int KEEP_ALIVE_PROBES = 2;
+
   private HttpClients() {}
 
   /** Returns a client that reuses connections. */
@@ -45,7 +51,14 @@
             .build();
     return PoolingHttpClientConnectionManagerBuilder.create()
         .setDefaultConnectionConfig(configuration)
-        .setDefaultSocketConfig(SocketConfig.custom().setTcpNoDelay(true).build())
+        .setDefaultSocketConfig(
+            SocketConfig.custom()
+                .setTcpNoDelay(true)
+                .setSoKeepAlive(true)
+                .setTcpKeepIdle(KEEP_ALIVE_SECONDS)
+                .setTcpKeepInterval(KEEP_ALIVE_SECONDS)
+                .setTcpKeepCount(KEEP_ALIVE_PROBES)
+                .build())
         .setMaxConnPerRoute(connectionsForEachServer)
         .setMaxConnTotal(Integer.MAX_VALUE)
         .build();
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -201,7 +203,10 @@
           broken(context);
           return;
         }
-        readHead(head);
+        if (!readHead(head)) {
+          broken(context);
+          return;
+        }
       }
       if (message instanceof HttpContent content) {
         if (content.decoderResult().isFailure()) {
@@ -212,10 +217,11 @@
       }
     }
 
-    private void readHead(HttpResponse head) {
-      if (head.status().code() == 100) {
+    /** Takes the head of an answer; returns false if no backend server can have made it. */
+    private boolean readHead(HttpResponse head) {
+      if (head.status().code() == HttpResponseStatus.CONTINUE.code()) {
         foreign = true;
-        return;
+        return true;
       }
       AnswerFacts facts = dialect.read(head);
       // A second answer to an earlier request may come first; the identifier tells.
@@ -224,9 +230,15 @@
       idleMillis = facts.idleMillis();
       if (foreign) {
         logger.atInfo().log("backend: an answer to another request came from %s", backend.id());
-      } else {
-        exchange.onHead(head, facts);
+        return true;
+      }
+      boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+      if (success && !facts.signed()) {
+        logger.atInfo().log("backend: an answer without signature came from %s", backend.id());
+        return false;
       }
+      exchange.onHead(head, facts);
+      return true;
     }
 
     private boolean isFramed(HttpResponse head) {
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
@@ -37,6 +37,7 @@
 import org.trefoilbarrow.protocol.OrganisationId;
 import org.trefoilbarrow.state.fleet.BackendServer;
 import org.trefoilbarrow.state.fleet.FleetView;
+import org.trefoilbarrow.transport.forward.EventLog;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
 import org.trefoilbarrow.transport.link.generated.FinishedMessage;
 import org.trefoilbarrow.transport.link.generated.HelloMessage;
@@ -57,6 +58,7 @@
 public final class Placements {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration REPORT = Duration.ofSeconds(1);
   private static final Duration BIND_AGAIN = Duration.ofMillis(300);
   private static final long NANOS_IN_MILLI = 1_000_000;
 
@@ -66,6 +68,7 @@
   private final Dispatcher dispatcher;
   private final BooleanSupplier fit;
   private final LongSupplier nanoClock;
+  private final EventLog log;
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final Map<HostId, Link> links = new LinkedHashMap<>();
   private final Map<HostId, Channel> clients = new HashMap<>();
@@ -111,13 +114,15 @@
       FleetView fleet,
       Dispatcher dispatcher,
       BooleanSupplier fit,
-      LongSupplier nanoClock) {
+      LongSupplier nanoClock,
+      EventLog log) {
     this.loop = checkNotNull(loop, "loop");
     this.self = checkNotNull(self, "self");
     this.fleet = checkNotNull(fleet, "fleet");
     this.dispatcher = checkNotNull(dispatcher, "dispatcher");
     this.fit = checkNotNull(fit, "fit");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
+    this.log = checkNotNull(log, "log");
   }
 
   /** Begins to work; a host that does not serve callers accepts links. */
@@ -130,9 +135,27 @@
         TICK.toMillis(),
         TICK.toMillis(),
         TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        this::logState, REPORT.toMillis(), REPORT.toMillis(), TimeUnit.MILLISECONDS);
     choose();
   }
 
+  private void logState() {
+    if (dispatcher.waitingCount() + dispatcher.runningCount() > 0) {
+      log.add(
+          "dispatch",
+          "state",
+          "waiting",
+          dispatcher.waitingCount(),
+          "running",
+          dispatcher.runningCount(),
+          "hosts",
+          clients.size(),
+          "detail",
+          dispatcher.describe());
+    }
+  }
+
   /** Sets who takes the messages that do not concern places. */
   public void setPeerMessages(PeerMessages messages) {
     this.peerMessages = checkNotNull(messages, "messages");
@@ -211,9 +234,18 @@
   }
 
   private Link connect(PeerAddress peer) {
-    HelloMessage hello =
-        new HelloMessage(self.host().value(), self.servesCallers(), self.startedMillis());
-    return new Link(loop, peer, hello, fit, nanoClock, this::choose, this::heard);
+    return new Link(
+        loop,
+        peer,
+        hello(),
+        fit,
+        nanoClock,
+        this::choose,
+        message -> heard(peer.host(), message));
+  }
+
+  private HelloMessage hello() {
+    return new HelloMessage(self.host().value(), self.servesCallers(), self.startedMillis());
   }
 
   private DemandId localId(long number) {
@@ -251,20 +283,21 @@
   }
 
   private void move(Optional<HostId> best) {
-    logger.atInfo().log(
-        "dispatch: places come from %s, %d calls", best.map(HostId::value).orElse("here"),
+    log.add(
+        "dispatch",
+        "places come from",
+        "host",
+        best.map(HostId::value).orElse("here"),
+        "calls",
         calls.size());
     if (current.isEmpty()) {
       dispatcher.hostRestarted(self.host());
     }
+    // A greeting clears what a host counts for this one: what the former one placed is reported to
+    // the next, and the next may still count what it placed before.
+    current.ifPresent(former -> send(former, LinkMessage.hello(hello())));
     current = best;
-    if (best.isPresent()) {
-      // A host that took us for lost still counts what we ran; the greeting clears it.
-      send(
-          best.get(),
-          LinkMessage.hello(
-              new HelloMessage(self.host().value(), self.servesCallers(), self.startedMillis())));
-    }
+    best.ifPresent(next -> send(next, LinkMessage.hello(hello())));
     ImmutableList.copyOf(calls.entrySet())
         .forEach(entry -> submit(entry.getKey(), entry.getValue()));
   }
@@ -325,7 +358,13 @@
         demand.excluded());
   }
 
-  private void heard(LinkMessage message) {
+  private void heard(HostId from, LinkMessage message) {
+    boolean concernsPlaces =
+        message.isSetPlaced() || message.isSetRefused() || message.isSetRevoked();
+    if (concernsPlaces && current.filter(from::equals).isEmpty()) {
+      // The work was asked for elsewhere since; two places would be two runs.
+      return;
+    }
     if (message.isSetPlaced()) {
       placed(message.getPlaced().getCall(), BackendServerId.of(message.getPlaced().getBackend()));
     } else if (message.isSetRefused()) {
@@ -337,13 +376,13 @@
     } else if (message.isSetRevoked()) {
       revoked(message.getRevoked().getCall());
     } else {
-      peerMessages.received(self.host(), message, answer -> {});
+      peerMessages.received(from, message, answer -> {});
     }
   }
 
   private void placed(long number, BackendServerId id) {
     Call call = calls.get(number);
-    if (call == null) {
+    if (call == null || call.backend.isPresent()) {
       return;
     }
     Optional<BackendServer> backend = fleet.backend(id);
@@ -400,6 +439,10 @@
     // Run later: a listener may ask again, and the dispatcher is in the middle of its decisions.
     loop.execute(
         () -> {
+          if (current.isPresent()) {
+            // Another host places the work by now.
+            return;
+          }
           if (decision instanceof Decision.Placed placed) {
             placed(placed.demand().call(), placed.backend());
           } else if (decision instanceof Decision.Refused refused) {
