Refuse what waited past its objective; keep places from urgent items; one host runs a job

Change: jobs are begun 1.2 s after the start and items that wait are left to the owner; urgent items keep a quarter of the places while online requests wait; a request that waited past its objective is refused, once more only after a part of its time; the attempt of a caller is told by the longest deadline of its route.

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
@@ -9,6 +9,10 @@
  *     online requests
  * @param urgentBefore how long before a job is due its items are no longer interrupted: about the
  *     time that a long item runs
+ * @param keptForUrgent the part of a service's places that urgent items keep while online requests
+ *     wait; more would put batch work before online work
+ * @param lateWaitPart the part of the time between objective and deadline for which a request of a
+ *     caller that was refused before is kept waiting
  * @param firstServiceTime the service time that is assumed before any was measured
  * @param coldPart the part of a cold backend server's tolerated rate that is used, below 1 because
  *     a change of the dispatching host may double it for a moment
@@ -20,6 +24,8 @@
 public record DispatchRules(
     double batchReserve,
     Duration urgentBefore,
+    double keptForUrgent,
+    double lateWaitPart,
     Duration firstServiceTime,
     double coldPart,
     Duration penalty,
@@ -30,6 +36,8 @@
       new DispatchRules(
           0.05,
           Duration.ofSeconds(7),
+          0.25,
+          0.3,
           Duration.ofMillis(500),
           0.8,
           Duration.ofMillis(500),
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -290,20 +290,41 @@
   }
 
   private int interruptible(String service, long nowNanos) {
-    int count = 0;
+    return interruptibleItems(service, nowNanos).size();
+  }
+
+  /**
+   * Returns the batch items whose places may be taken, those first that can best wait: items whose
+   * job is late already, then those whose job is due last. The most urgent items keep their part.
+   */
+  private List<Running> interruptibleItems(String service, long nowNanos) {
+    List<Running> items = new ArrayList<>();
+    int urgent = 0;
     for (Running entry : running.values()) {
-      if (isInterruptible(entry, service, nowNanos)) {
-        count++;
+      if (entry.demand.batch() && entry.demand.service().equals(service) && !entry.revoked) {
+        items.add(entry);
+        urgent += isUrgent(entry.demand, nowNanos) ? 1 : 0;
       }
     }
-    return count;
+    int kept = Math.min(urgent, (int) (places(service) * rules.keptForUrgent()));
+    items.sort(
+        Comparator.comparing((Running entry) -> isUrgent(entry.demand, nowNanos))
+            .thenComparing(
+                Comparator.comparingLong((Running entry) -> entry.demand.objectiveNanos())
+                    .reversed()));
+    return items.subList(0, items.size() - kept);
   }
 
-  private boolean isInterruptible(Running entry, String service, long nowNanos) {
-    return entry.demand.batch()
-        && entry.demand.service().equals(service)
-        && !entry.revoked
-        && !isUrgent(entry.demand, nowNanos);
+  private int urgentRunning(String service, long nowNanos) {
+    int urgent = 0;
+    for (Running entry : running.values()) {
+      if (entry.demand.service().equals(service)
+          && entry.demand.batch()
+          && isUrgent(entry.demand, nowNanos)) {
+        urgent++;
+      }
+    }
+    return urgent;
   }
 
   private boolean isUrgent(Demand demand, long nowNanos) {
@@ -313,15 +334,17 @@
 
   private ImmutableList<Decision> pump(String service, long nowNanos) {
     Queue queue = queue(service);
-    moveLate(queue, nowNanos);
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
+    moveLate(queue, decisions, nowNanos);
     List<Demand> urgent = new ArrayList<>();
     for (Demand demand : queue.batch) {
       if (isUrgent(demand, nowNanos)) {
         urgent.add(demand);
       }
     }
-    placeAll(urgent, 0, decisions, nowNanos);
+    int kept = (int) (places(service) * rules.keptForUrgent());
+    int room = queue.online.isEmpty() ? urgent.size() : kept - urgentRunning(service, nowNanos);
+    placeAll(urgent.subList(0, Math.max(0, Math.min(room, urgent.size()))), 0, decisions, nowNanos);
     placeAll(new ArrayList<>(queue.online), 0, decisions, nowNanos);
     interrupt(queue.online.size(), service, decisions, nowNanos);
     if (queue.online.isEmpty()) {
@@ -332,13 +355,35 @@
     return decisions.build();
   }
 
-  private static void moveLate(Queue queue, long nowNanos) {
+  /**
+   * Refuses what waited in vain until its objective: the caller can come back in time. A caller that
+   * was refused before is kept waiting for a while longer, behind all that can be on time.
+   */
+  private void moveLate(
+      Queue queue, ImmutableList.Builder<Decision> decisions, long nowNanos) {
     for (Demand demand : ImmutableList.copyOf(queue.online)) {
       if (nowNanos - demand.objectiveNanos() > 0) {
         queue.online.remove(demand);
-        queue.late.add(demand);
+        if (demand.repeated()) {
+          queue.late.add(demand);
+        } else {
+          refuseWaiting(demand, decisions);
+        }
       }
     }
+    for (Demand demand : ImmutableList.copyOf(queue.late)) {
+      double patience =
+          (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitPart();
+      if (nowNanos - demand.objectiveNanos() > patience) {
+        queue.late.remove(demand);
+        refuseWaiting(demand, decisions);
+      }
+    }
+  }
+
+  private void refuseWaiting(Demand demand, ImmutableList.Builder<Decision> decisions) {
+    waiting.remove(demand.id());
+    decisions.add(refused(demand, RefusalReason.WAITED_TOO_LONG, 0));
   }
 
   private void placeAll(
@@ -377,10 +422,7 @@
     if (missing <= 0) {
       return;
     }
-    running.values().stream()
-        .filter(entry -> isInterruptible(entry, service, nowNanos))
-        .sorted(
-            Comparator.comparingLong((Running entry) -> entry.demand.objectiveNanos()).reversed())
+    interruptibleItems(service, nowNanos).stream()
         .limit(missing)
         .forEach(
             entry -> {
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -56,6 +56,7 @@
   private final Optional<Organisation> organisation;
   private final Responder responder;
   private final Runnable onDone;
+  private final boolean repeatedByCaller;
   private final long startNanos;
   private final long deadlineNanos;
   private final Set<BackendServerId> excluded = new HashSet<>();
@@ -74,6 +75,7 @@
       RequestFacts facts,
       Route route,
       Optional<Organisation> organisation,
+      boolean repeatedByCaller,
       Responder responder,
       Runnable onDone) {
     this.services = checkNotNull(services, "services");
@@ -81,6 +83,7 @@
     this.facts = checkNotNull(facts, "facts");
     this.route = checkNotNull(route, "route");
     this.organisation = checkNotNull(organisation, "organisation");
+    this.repeatedByCaller = repeatedByCaller;
     this.responder = checkNotNull(responder, "responder");
     this.onDone = checkNotNull(onDone, "onDone");
     this.startNanos = now();
@@ -93,7 +96,7 @@
 
   /** Begins to lead the request. */
   void start() {
-    askForPlace(organisation, isRepeatedByCaller());
+    askForPlace(organisation, repeatedByCaller);
   }
 
   /** The caller has left. */
@@ -110,12 +113,6 @@
     exchange.ifPresent(current -> current.checkProgress(nowNanos));
   }
 
-  /** Returns whether less time is left than the route gives, so that the caller tried before. */
-  private boolean isRepeatedByCaller() {
-    long given = facts.deadlineMillis().orElse(route.timeoutMillis());
-    return given < route.timeoutMillis() * 9 / 10;
-  }
-
   private long now() {
     return services.nanoClock().getAsLong();
   }
@@ -220,7 +217,7 @@
 
   private static ErrorKind kindOf(RefusalReason reason) {
     return switch (reason) {
-      case TOO_LONG_A_WAIT -> ErrorKind.QUEUE_FULL;
+      case TOO_LONG_A_WAIT, WAITED_TOO_LONG -> ErrorKind.QUEUE_FULL;
       case OVER_RATE -> ErrorKind.OVER_RATE;
       case NO_BACKEND -> ErrorKind.NO_BACKEND_SERVER;
     };
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -36,9 +36,11 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -69,6 +71,9 @@
   private static final int MAX_CHUNK_BYTES = 65_536;
 
   private static final int MAX_LINE_BYTES = 8192;
+  /** A first attempt has at least this part of the longest deadline seen on its route left. */
+  private static final double FIRST_ATTEMPT_PART = 0.98;
+
   private static final int MAX_PIPELINED = 16;
 
   private final ForwardServices services;
@@ -76,6 +81,7 @@
   private final LongSupplier milliClock;
   private final Set<Connection> connections = new LinkedHashSet<>();
   private final Set<ForwardedCall> calls = new HashSet<>();
+  private final Map<String, Long> longestDeadlines = new HashMap<>();
   private boolean ready;
   private boolean draining;
 
@@ -323,6 +329,7 @@
             facts,
             route,
             organisation,
+            isRepeated(route, facts),
             answer,
             () -> calls.remove(self[0]));
     self[0] = call;
@@ -331,6 +338,19 @@
     call.start();
   }
 
+  /**
+   * Returns whether the caller tried before: callers of a route begin with the same deadline, so one
+   * with less time left has waited already.
+   */
+  private boolean isRepeated(Route route, RequestFacts facts) {
+    if (facts.deadlineMillis().isEmpty()) {
+      return false;
+    }
+    long deadline = facts.deadlineMillis().getAsLong();
+    long longest = longestDeadlines.merge(route.name(), deadline, Math::max);
+    return deadline < longest * FIRST_ATTEMPT_PART;
+  }
+
   private void submitJob(
       FullHttpRequest request,
       RequestFacts facts,
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -90,6 +90,11 @@
     endPlace(PlaceResult.CANCELLED);
   }
 
+  /** Returns whether the item is at a backend server. */
+  boolean isRunning() {
+    return exchange.isPresent();
+  }
+
   void checkProgress(long nowNanos) {
     Optional<Exchange> current = exchange;
     if (current.isPresent() && nowNanos - current.get().progressNanos > SILENCE.toNanos()) {
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
@@ -40,6 +41,9 @@
   /** How long outcomes are gathered into one write: short against a job's due time. */
   private static final Duration GATHER = Duration.ofMillis(150);
 
+  /** How long a host that has just started hears who else runs before it runs jobs. */
+  private static final Duration WAIT_FOR_PEERS = Duration.ofMillis(1200);
+
   private static final Duration RETRY_WRITE = Duration.ofMillis(300);
   private static final int WRITE_ATTEMPTS = 3;
 
@@ -59,6 +63,7 @@
   private final Map<JobId, Map<String, ItemRun>> runs = new HashMap<>();
   private final Set<JobId> writing = new HashSet<>();
   private final String author;
+  private final long startNanos;
   private int activeItems;
   private boolean draining;
 
@@ -82,6 +87,7 @@
     this.self = checkNotNull(self, "self");
     this.followsJobs = checkNotNull(followsJobs, "followsJobs");
     this.milliClock = checkNotNull(milliClock, "milliClock");
+    this.startNanos = services.nanoClock().getAsLong();
     this.author = self.host() + "/" + self.startedMillis();
   }
 
@@ -128,7 +134,11 @@
       }
     }
     writeLater(ledger);
-    if (draining || ledger.isOver() || !followsJobs.getAsBoolean() || !isOwner(ledger.job())) {
+    if (draining || ledger.isOver() || !followsJobs.getAsBoolean() || isBeginning()) {
+      return;
+    }
+    if (!isOwner(ledger.job())) {
+      dropWaiting(ledger);
       return;
     }
     Optional<Catalog> catalog = services.fleet().catalog();
@@ -150,6 +160,24 @@
     }
   }
 
+  /** Returns whether the other hosts may not have been heard yet. */
+  private boolean isBeginning() {
+    return services.nanoClock().getAsLong() - startNanos < WAIT_FOR_PEERS.toNanos();
+  }
+
+  /** Leaves items that do not run yet to the host that owns the job now. */
+  private void dropWaiting(JobLedger ledger) {
+    Map<String, ItemRun> running = runs.get(ledger.job().id());
+    if (running == null) {
+      return;
+    }
+    for (Map.Entry<String, ItemRun> entry : ImmutableMap.copyOf(running).entrySet()) {
+      if (!entry.getValue().isRunning()) {
+        ended(ledger, entry.getKey());
+      }
+    }
+  }
+
   private void begin(JobLedger ledger, JobItem item, Optional<Route> route) {
     if (route.isEmpty() || isPastRetention(ledger.job(), route.get())) {
       services
