--- a/server/src/main/java/org/trefoilbarrow/command/BackendFeed.java
+++ b/server/src/main/java/org/trefoilbarrow/command/BackendFeed.java
@@ -24,8 +24,8 @@
 
 /**
  * Keeps the backend servers of a {@link FleetView} equal to the platform's list. Entries may lapse
- * while the platform is away and come back shortly after it: what is missing just after an outage is
- * kept for that time.
+ * while the platform is away and come back shortly after it: what is missing just after an outage
+ * is kept for that time.
  */
 final class BackendFeed {
   /** How long after an outage a missing entry is kept: the time in which entries come back. */
--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -234,15 +234,13 @@
   private void judgeReadiness() {
     boolean hasPeers = !placements.livePeers(false).isEmpty();
     boolean waited = nanoClock.getAsLong() - startNanos > WAIT_FOR_PEERS.toNanos();
-    boolean ready =
-        !leaving && fleet.catalog().isPresent() && followsAll() && (hasPeers || waited);
+    boolean ready = !leaving && fleet.catalog().isPresent() && followsAll() && (hasPeers || waited);
     ingress.ifPresent(found -> found.setReady(ready));
   }
 
   private void followFleet() {
     BackendFeed backends =
-        new BackendFeed(
-            loop, fleet, adapter.decoder(), log, nanoClock, placements::fleetChanged);
+        new BackendFeed(loop, fleet, adapter.decoder(), log, nanoClock, placements::fleetChanged);
     ImmutableList.Builder<CollectionWatcher> watchers = ImmutableList.builder();
     watchers.add(watch(ObjectKind.CONFIGURATION, this::configured, name -> {}));
     watchers.add(
@@ -266,8 +264,7 @@
               ObjectKind.RESULT,
               object -> table.partCreated(object.name(), object.value()),
               name -> {}));
-      watchers.add(
-          watch(ObjectKind.JOB_END, object -> table.jobEnded(object.name()), name -> {}));
+      watchers.add(watch(ObjectKind.JOB_END, object -> table.jobEnded(object.name()), name -> {}));
       watchers.add(watch(ObjectKind.HOST_REMOVAL, this::removalAsked, name -> {}));
     }
     ImmutableList<CollectionWatcher> all = watchers.build();
@@ -316,8 +313,7 @@
     gone.forEach(name -> take.accept(new VersionedObject(name, page.revision(), ""), false));
   }
 
-  private static void takeChanges(
-      ChangeBatch batch, BiConsumer<VersionedObject, Boolean> take) {
+  private static void takeChanges(ChangeBatch batch, BiConsumer<VersionedObject, Boolean> take) {
     for (ObjectChange change : batch.changes()) {
       take.accept(
           new VersionedObject(change.name(), change.version(), change.value().orElse("")),
@@ -432,9 +428,7 @@
       logger.atFine().log("host: not registered yet: %s", e.getMessage());
     }
     loop.schedule(
-        () -> executor.execute(this::register),
-        REGISTER_AGAIN.toMillis(),
-        TimeUnit.MILLISECONDS);
+        () -> executor.execute(this::register), REGISTER_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private static ExecutorService daemons(int threads) {
--- a/server/src/main/java/org/trefoilbarrow/command/Main.java
+++ b/server/src/main/java/org/trefoilbarrow/command/Main.java
@@ -28,14 +28,14 @@
     ImmutableMap.Builder<String, Command> commands =
         ImmutableMap.<String, Command>builder()
             .put("serve", new ServeCommand())
-          .put("check-settings", new CheckSettingsCommand())
-          .put("dev", new DevCommand())
-          .put("apply", ApplyCommand.apply())
-          .put("diff", ApplyCommand.diff())
-          .put("get", new GetCommand())
-          .put("key", new KeyCommand())
-          .put("status", new StatusCommand())
-          .put("job", new JobCommand());
+            .put("check-settings", new CheckSettingsCommand())
+            .put("dev", new DevCommand())
+            .put("apply", ApplyCommand.apply())
+            .put("diff", ApplyCommand.diff())
+            .put("get", new GetCommand())
+            .put("key", new KeyCommand())
+            .put("status", new StatusCommand())
+            .put("job", new JobCommand());
     ServiceLoader.load(Command.class).forEach(command -> commands.put(command.name(), command));
     return commands.buildOrThrow();
   }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
@@ -16,8 +16,8 @@
  * @param firstServiceTime the service time that is assumed before any was measured
  * @param coldPart the part of a cold backend server's tolerated rate that is used, below 1 because
  *     a change of the dispatching host may double it for a moment
- * @param penalty how long a backend server that failed gets only what no other can take; doubled
- *     by each further failure
+ * @param penalty how long a backend server that failed gets only what no other can take; doubled by
+ *     each further failure
  * @param maxPenalty the longest penalty
  * @param lostHostKept how long places of a host that is no longer heard count as taken
  */
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -268,13 +268,12 @@
   }
 
   private Optional<Decision> overRate(Demand demand, OrganisationId id, long nowNanos) {
-    Organisation organisation = fleet.catalog().map(Catalog::organisations).map(all -> all.get(id))
-        .orElse(null);
+    Organisation organisation =
+        fleet.catalog().map(Catalog::organisations).map(all -> all.get(id)).orElse(null);
     if (organisation == null || organisation.ratePerSecond() <= 0) {
       return Optional.empty();
     }
-    Grant grant =
-        new Grant(organisation.ratePerSecond(), Math.max(1, organisation.burst()), 0);
+    Grant grant = new Grant(organisation.ratePerSecond(), Math.max(1, organisation.burst()), 0);
     VariableBucket bucket = buckets.computeIfAbsent(id, key -> new VariableBucket(nowNanos));
     if (bucket.tryTake(grant, part, nowNanos)) {
       return Optional.empty();
@@ -356,11 +355,10 @@
   }
 
   /**
-   * Refuses what waited in vain until its objective: the caller can come back in time. A caller that
-   * was refused before is kept waiting for a while longer, behind all that can be on time.
+   * Refuses what waited in vain until its objective: the caller can come back in time. A caller
+   * that was refused before is kept waiting for a while longer, behind all that can be on time.
    */
-  private void moveLate(
-      Queue queue, ImmutableList.Builder<Decision> decisions, long nowNanos) {
+  private void moveLate(Queue queue, ImmutableList.Builder<Decision> decisions, long nowNanos) {
     for (Demand demand : ImmutableList.copyOf(queue.online)) {
       if (nowNanos - demand.objectiveNanos() > 0) {
         queue.online.remove(demand);
@@ -372,8 +370,7 @@
       }
     }
     for (Demand demand : ImmutableList.copyOf(queue.late)) {
-      double patience =
-          (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitPart();
+      double patience = (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitPart();
       if (nowNanos - demand.objectiveNanos() > patience) {
         queue.late.remove(demand);
         refuseWaiting(demand, decisions);
@@ -387,10 +384,7 @@
   }
 
   private void placeAll(
-      List<Demand> demands,
-      int reserve,
-      ImmutableList.Builder<Decision> decisions,
-      long nowNanos) {
+      List<Demand> demands, int reserve, ImmutableList.Builder<Decision> decisions, long nowNanos) {
     for (Demand demand : demands) {
       if (reserve > 0 && freePlaces(demand.service()) <= reserve) {
         return;
--- a/server/src/main/java/org/trefoilbarrow/coordination/jobs/JobLedger.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/jobs/JobLedger.java
@@ -21,9 +21,9 @@
  * What is known of one job: its items, the results that are visible for good, and the outcomes that
  * wait to become visible.
  *
- * <p>Results become visible by parts with consecutive numbers, each of which the platform creates at
- * most once. Whoever finds that a number is taken applies that part first and writes the rest under
- * the next number. So each item has one position, whoever else ran it. Not thread-safe.
+ * <p>Results become visible by parts with consecutive numbers, each of which the platform creates
+ * at most once. Whoever finds that a number is taken applies that part first and writes the rest
+ * under the next number. So each item has one position, whoever else ran it. Not thread-safe.
  */
 public final class JobLedger {
   private final RequestJob job;
@@ -159,9 +159,7 @@
       }
       next.add(result);
     }
-    return next.isEmpty() || ended
-        ? Optional.empty()
-        : Optional.of(new ResultPart(author, next));
+    return next.isEmpty() || ended ? Optional.empty() : Optional.of(new ResultPart(author, next));
   }
 
   private void finish(Result result) {
--- a/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
@@ -89,8 +89,7 @@
       // Reported below, like an address without a port.
       stated = true;
     }
-    mistakes.add(
-        new SettingsMistake(source, 0, path, stated ? "must be IP:port" : "is missing"));
+    mistakes.add(new SettingsMistake(source, 0, path, stated ? "must be IP:port" : "is missing"));
   }
 
   private static void port(
--- a/server/src/main/java/org/trefoilbarrow/state/fleet/Service.java
+++ b/server/src/main/java/org/trefoilbarrow/state/fleet/Service.java
@@ -9,5 +9,4 @@
  * @param coldRatePerSecond the requests a second that a cold backend server tolerates; 0 for no
  *     bound
  */
-public record Service(
-    String name, int maxConnections, long coldMillis, double coldRatePerSecond) {}
+public record Service(String name, int maxConnections, long coldMillis, double coldRatePerSecond) {}
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/AnswerFacts.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/AnswerFacts.java
@@ -13,4 +13,8 @@
  * @param idleMillis how long the server keeps the connection open while it is idle; 0 if unknown
  */
 public record AnswerFacts(
-    Optional<String> requestId, boolean signed, boolean notRun, boolean replaced, long idleMillis) {}
+    Optional<String> requestId,
+    boolean signed,
+    boolean notRun,
+    boolean replaced,
+    long idleMillis) {}
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -29,8 +29,8 @@
 import org.trefoilbarrow.transport.link.WorkDemand;
 
 /**
- * Leads one request of a caller to its end: asks for a place, sends it, sends it again where that is
- * safe, continues a stream at another backend server, and answers.
+ * Leads one request of a caller to its end: asks for a place, sends it, sends it again where that
+ * is safe, continues a stream at another backend server, and answers.
  */
 final class ForwardedCall implements PlaceListener {
   /** The part of the objective within which a request must be placed. */
@@ -88,10 +88,10 @@
     this.onDone = checkNotNull(onDone, "onDone");
     this.startNanos = now();
     this.lastEvent = facts.resumeAfter();
-    long limitMillis = Math.min(route.timeoutMillis(), facts.deadlineMillis().orElse(Long.MAX_VALUE));
+    long limitMillis =
+        Math.min(route.timeoutMillis(), facts.deadlineMillis().orElse(Long.MAX_VALUE));
     this.deadlineNanos = startNanos + limitMillis * NANOS_IN_MILLI;
-    this.timeout =
-        services.loop().schedule(this::onTimeout, limitMillis, TimeUnit.MILLISECONDS);
+    this.timeout = services.loop().schedule(this::onTimeout, limitMillis, TimeUnit.MILLISECONDS);
   }
 
   /** Begins to lead the request. */
@@ -118,10 +118,8 @@
   }
 
   private void askForPlace(Optional<Organisation> charged, boolean repeated) {
-    int rank =
-        organisation.map(Organisation::priority).orElse(0) * RANKS + route.priority();
-    long objective =
-        startNanos + (long) (route.targetMillis() * PLACE_WITHIN * NANOS_IN_MILLI);
+    int rank = organisation.map(Organisation::priority).orElse(0) * RANKS + route.priority();
+    long objective = startNanos + (long) (route.targetMillis() * PLACE_WITHIN * NANOS_IN_MILLI);
     WorkDemand demand =
         new WorkDemand(
             route.service(facts.requestId().hashCode()),
@@ -153,14 +151,6 @@
                 organisation.map(Organisation::id),
                 left / NANOS_IN_MILLI,
                 lastEvent);
-    FullHttpRequest sent =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            request.method(),
-            request.uri(),
-            request.content().retainedDuplicate(),
-            headers,
-            EmptyHttpHeaders.INSTANCE);
     if (request.content().isReadable()) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
     }
@@ -177,6 +167,14 @@
             backend.id(),
             "waitedMillis",
             (now() - startNanos) / NANOS_IN_MILLI);
+    FullHttpRequest sent =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.uri(),
+            request.content().retainedDuplicate(),
+            headers,
+            EmptyHttpHeaders.INSTANCE);
     next.cancellation = services.connections().send(backend, sent, next);
   }
 
@@ -370,8 +368,7 @@
       long limit =
           answerBegun && streams
               ? Duration.ofMillis(route.eventGapMillis()).plus(GAP_SLACK).toNanos()
-              : Math.max(
-                  MIN_FIRST_SIGN.toNanos(), 2 * route.targetMillis() * NANOS_IN_MILLI);
+              : Math.max(MIN_FIRST_SIGN.toNanos(), 2 * route.targetMillis() * NANOS_IN_MILLI);
       if (nowNanos - progressNanos > limit) {
         runs++;
         afterRun(backend, PlaceResult.STALLED);
@@ -385,9 +382,7 @@
       notRun = answer.notRun();
       replaced = answer.replaced();
       streams =
-          route.streams()
-              && received.status().code() == HttpResponseStatus.OK.code()
-              && !notRun;
+          route.streams() && received.status().code() == HttpResponseStatus.OK.code() && !notRun;
     }
 
     @Override
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -47,6 +47,7 @@
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.protocol.ErrorAnswer;
 import org.trefoilbarrow.protocol.ErrorKind;
+import org.trefoilbarrow.protocol.JobId;
 import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.protocol.RequestJob;
 import org.trefoilbarrow.protocol.RequestJob.JobItem;
@@ -55,7 +56,6 @@
 import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.Organisation;
 import org.trefoilbarrow.state.fleet.Route;
-import org.trefoilbarrow.protocol.JobId;
 
 /**
  * Takes requests of callers, finds route and organisation, and has them forwarded. Also answers
@@ -71,6 +71,7 @@
   private static final int MAX_CHUNK_BYTES = 65_536;
 
   private static final int MAX_LINE_BYTES = 8192;
+
   /** A first attempt has at least this part of the longest deadline seen on its route left. */
   private static final double FIRST_ATTEMPT_PART = 0.98;
 
@@ -298,7 +299,12 @@
       if (organisation.isEmpty()) {
         services
             .log()
-            .add("ingress", "unknown key", "request", facts.requestId(), "version",
+            .add(
+                "ingress",
+                "unknown key",
+                "request",
+                facts.requestId(),
+                "version",
                 known.get().version());
         answer.refuse(ErrorKind.INVALID_KEY, 0);
         return;
@@ -339,8 +345,8 @@
   }
 
   /**
-   * Returns whether the caller tried before: callers of a route begin with the same deadline, so one
-   * with less time left has waited already.
+   * Returns whether the caller tried before: callers of a route begin with the same deadline, so
+   * one with less time left has waited already.
    */
   private boolean isRepeated(Route route, RequestFacts facts) {
     if (facts.deadlineMillis().isEmpty()) {
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobFront.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobFront.java
@@ -30,9 +30,9 @@
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
 
 /**
- * What a host with callers does for jobs: accepts and ends them at the platform, and reads them from
- * the hosts that run them, or from the platform while none of these answers. Used by the thread of
- * the event loop alone; calls to the platform run on the executor.
+ * What a host with callers does for jobs: accepts and ends them at the platform, and reads them
+ * from the hosts that run them, or from the platform while none of these answers. Used by the
+ * thread of the event loop alone; calls to the platform run on the executor.
  */
 public final class JobFront implements JobGateway, Placements.PeerMessages {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -61,10 +61,7 @@
     final Runnable atLast;
 
     Pending(
-        JobReadMessage message,
-        Deque<HostId> untried,
-        Consumer<JobAnswer> done,
-        Runnable atLast) {
+        JobReadMessage message, Deque<HostId> untried, Consumer<JobAnswer> done, Runnable atLast) {
       this.message = message;
       this.untried = untried;
       this.done = done;
@@ -178,8 +175,7 @@
     ask(job, message, done, () -> fallback.readItem(job, organisation, item, done));
   }
 
-  private void ask(
-      JobId job, JobReadMessage message, Consumer<JobAnswer> done, Runnable atLast) {
+  private void ask(JobId job, JobReadMessage message, Consumer<JobAnswer> done, Runnable atLast) {
     Set<HostId> order = new LinkedHashSet<>();
     ImmutableList<HostId> fit = hosts(placements.livePeers(true));
     Rendezvous.owner(job.value(), fit).ifPresent(order::add);
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobMessages.java
@@ -33,9 +33,7 @@
         Certainty.values()[message.getState()],
         message.getTotal(),
         message.getResults().stream()
-            .map(
-                result ->
-                    new Result(result.getItem(), result.isCompleted(), result.getOutput()))
+            .map(result -> new Result(result.getItem(), result.isCompleted(), result.getOutput()))
             .collect(ImmutableList.toImmutableList()),
         message.isSetBody() ? Optional.of(message.getBody()) : Optional.empty());
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobObjects.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobObjects.java
@@ -37,8 +37,7 @@
   /** Creates the access to the objects of jobs. */
   public JobObjects(Platform platform) {
     this.platform = checkNotNull(platform, "platform");
-    this.writes =
-        new ConfirmedWrites(platform, (Duration time) -> Thread.sleep(time.toMillis()));
+    this.writes = new ConfirmedWrites(platform, (Duration time) -> Thread.sleep(time.toMillis()));
   }
 
   /** Returns the number of a part from the name of its object, or -1. */
@@ -78,13 +77,16 @@
   /** Makes results visible under the given number; a number that is taken is a conflict. */
   WriteOutcome createPart(JobId job, int number, ResultPart part, int attempts) {
     return writes.write(
-        ObjectKind.RESULT, partName(job, number), Platform.ABSENT, JsonCodec.encode(part), attempts);
+        ObjectKind.RESULT,
+        partName(job, number),
+        Platform.ABSENT,
+        JsonCodec.encode(part),
+        attempts);
   }
 
   /** Keeps the end of a job. */
   WriteOutcome createEnd(JobId job, int attempts) {
-    return writes.write(
-        ObjectKind.JOB_END, job.value(), Platform.ABSENT, "\"ended\"", attempts);
+    return writes.write(ObjectKind.JOB_END, job.value(), Platform.ABSENT, "\"ended\"", attempts);
   }
 
   /** Returns a part of results, if it exists. */
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -31,8 +31,8 @@
 import org.trefoilbarrow.transport.link.PeerAddress;
 
 /**
- * Runs the items of the jobs that this host owns and makes their results visible. Used by the thread
- * of the event loop alone; writes run on the executor.
+ * Runs the items of the jobs that this host owns and makes their results visible. Used by the
+ * thread of the event loop alone; writes run on the executor.
  */
 public final class JobRunner {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -224,8 +224,7 @@
     ImmutableList<PeerAddress> fit = services.placements().livePeers(true);
     ImmutableList.Builder<JobOwner.Candidate> candidates = ImmutableList.builder();
     candidates.add(new JobOwner.Candidate(self.host(), self.startedMillis()));
-    fit.forEach(
-        peer -> candidates.add(new JobOwner.Candidate(peer.host(), peer.startedMillis())));
+    fit.forEach(peer -> candidates.add(new JobOwner.Candidate(peer.host(), peer.startedMillis())));
     Optional<HostId> owner = JobOwner.of(job, candidates.build());
     return owner.filter(self.host()::equals).isPresent();
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobTable.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobTable.java
@@ -173,8 +173,7 @@
         id,
         found -> {
           JobLedger loaded = ledgers.get(id);
-          done.accept(
-              loaded == null ? JobAnswer.of(found) : itemOf(loaded, organisation, item));
+          done.accept(loaded == null ? JobAnswer.of(found) : itemOf(loaded, organisation, item));
         });
   }
 
@@ -226,8 +225,7 @@
 
   private static JobAnswer answer(JobLedger ledger, int position) {
     ImmutableList<Result> results = ledger.resultsFrom(position, MAX_ANSWER_CHARACTERS);
-    return new JobAnswer(
-        Certainty.FOUND, ledger.job().items().size(), results, Optional.empty());
+    return new JobAnswer(Certainty.FOUND, ledger.job().items().size(), results, Optional.empty());
   }
 
   private void add(JobLedger ledger) {
@@ -241,8 +239,7 @@
     ledgers.put(id, ledger);
     SortedMap<Integer, String> parts = early.remove(id);
     if (parts != null) {
-      parts.forEach(
-          (number, value) -> ledger.apply(number, JobObjects.decodePart(value)));
+      parts.forEach((number, value) -> ledger.apply(number, JobObjects.decodePart(value)));
     }
     onChange.accept(ledger);
   }
@@ -254,8 +251,7 @@
     executor.execute(
         () -> {
           try {
-            Optional<RequestJob> job =
-                known != null ? Optional.of(known.job()) : objects.read(id);
+            Optional<RequestJob> job = known != null ? Optional.of(known.job()) : objects.read(id);
             List<ResultPart> parts = job.isPresent() ? readParts(id, from) : ImmutableList.of();
             loop.execute(() -> done.accept(loaded(id, job, from, parts)));
           } catch (PlatformException e) {
@@ -278,8 +274,7 @@
     return parts;
   }
 
-  private Certainty loaded(
-      JobId id, Optional<RequestJob> job, int from, List<ResultPart> parts) {
+  private Certainty loaded(JobId id, Optional<RequestJob> job, int from, List<ResultPart> parts) {
     if (job.isEmpty()) {
       return Certainty.ABSENT;
     }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
@@ -171,7 +171,7 @@
     }
 
     private void heard(PulseMessage pulse) {
-      boolean changed = !live || peerFit != pulse.isFit();
+      final boolean changed = !live || peerFit != pulse.isFit();
       if (!live) {
         logger.atInfo().log("link: %s answers", peer.host());
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
@@ -50,10 +50,10 @@
 /**
  * Gets places for the work of this host from the host that dispatches for all.
  *
- * <p>All hosts order the hosts that may dispatch alike and use the first that answers, best one that
- * follows the platform. While none answers, the host dispatches for itself with its part of each
- * limit. When the dispatching host changes, work that waits is asked for again and work that runs
- * is reported. Used by the thread of the event loop alone.
+ * <p>All hosts order the hosts that may dispatch alike and use the first that answers, best one
+ * that follows the platform. While none answers, the host dispatches for itself with its part of
+ * each limit. When the dispatching host changes, work that waits is asked for again and work that
+ * runs is reported. Used by the thread of the event loop alone.
  */
 public final class Placements {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -191,7 +191,9 @@
     choose();
   }
 
-  /** Returns the hosts other than this one that may run jobs and answer, best those that are fit. */
+  /**
+   * Returns the hosts other than this one that may run jobs and answer, best those that are fit.
+   */
   public ImmutableList<PeerAddress> livePeers(boolean fitOnly) {
     return links.values().stream()
         .filter(link -> fitOnly ? link.isFit() : link.isLive())
@@ -235,13 +237,7 @@
 
   private Link connect(PeerAddress peer) {
     return new Link(
-        loop,
-        peer,
-        hello(),
-        fit,
-        nanoClock,
-        this::choose,
-        message -> heard(peer.host(), message));
+        loop, peer, hello(), fit, nanoClock, this::choose, message -> heard(peer.host(), message));
   }
 
   private HelloMessage hello() {
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformCalls.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformCalls.java
@@ -42,10 +42,7 @@
    * @param callsPerSecond the budget of calls
    */
   public PlatformCalls(
-      CloseableHttpClient client,
-      Duration timeout,
-      double callsPerSecond,
-      LongSupplier nanoClock) {
+      CloseableHttpClient client, Duration timeout, double callsPerSecond, LongSupplier nanoClock) {
     this.client = checkNotNull(client, "client");
     this.timeout = checkNotNull(timeout, "timeout");
     this.budget = RateLimiter.create(callsPerSecond);
--- /dev/null
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -0,0 +1,292 @@
+package org.trefoilbarrow.coordination.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.trefoilbarrow.protocol.BackendServerId;
+import org.trefoilbarrow.protocol.FailureDomainId;
+import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.state.fleet.BackendServer;
+import org.trefoilbarrow.state.fleet.CallerLimits;
+import org.trefoilbarrow.state.fleet.Catalog;
+import org.trefoilbarrow.state.fleet.FleetView;
+import org.trefoilbarrow.state.fleet.Organisation;
+import org.trefoilbarrow.state.fleet.Service;
+
+public final class DispatcherTest {
+  private static final String SERVICE = "models";
+  private static final long MILLI = 1_000_000;
+  private static final long SECOND = 1000 * MILLI;
+  private static final OrganisationId ORGANISATION = OrganisationId.of("acme");
+
+  private FleetView fleet;
+  private Dispatcher dispatcher;
+  private long nextCall;
+
+  @BeforeMethod
+  public void begin() {
+    fleet = new FleetView();
+    nextCall = 0;
+    dispatcher = new Dispatcher(fleet, DispatchRules.DEFAULT, new Random(7)::nextDouble);
+    apply(0, 10);
+  }
+
+  private void apply(double rate, double coldRate) {
+    Catalog catalog =
+        new Catalog(
+            1,
+            ImmutableList.of(),
+            ImmutableMap.of(SERVICE, new Service(SERVICE, 100, 3000, coldRate)),
+            ImmutableMap.of(ORGANISATION, new Organisation(ORGANISATION, 1, rate, rate)),
+            ImmutableMap.of(),
+            CallerLimits.INITIAL);
+    fleet.apply(catalog, ++nextCall);
+  }
+
+  private void backend(String id, int slots, boolean ready, long coldUntil) {
+    fleet.put(
+        new BackendServer(
+            BackendServerId.of(id),
+            SERVICE,
+            "10.0.0.1",
+            80,
+            FailureDomainId.of("d-" + id),
+            slots,
+            ready,
+            coldUntil));
+  }
+
+  private Demand online(long now, long objectiveMillis, boolean repeated, String... excluded) {
+    Set<BackendServerId> ids =
+        ImmutableList.copyOf(excluded).stream()
+            .map(BackendServerId::of)
+            .collect(ImmutableSet.toImmutableSet());
+    return new Demand(
+        new DemandId(HostId.of("h"), nextCall++),
+        SERVICE,
+        Optional.of(ORGANISATION),
+        0,
+        false,
+        now + objectiveMillis * MILLI,
+        now + 5 * SECOND,
+        repeated,
+        ids);
+  }
+
+  private Demand item(long now, long dueMillis) {
+    return new Demand(
+        new DemandId(HostId.of("jobs"), nextCall++),
+        SERVICE,
+        Optional.empty(),
+        2,
+        true,
+        now + dueMillis * MILLI,
+        now + 60 * SECOND,
+        true,
+        ImmutableSet.of());
+  }
+
+  private static <T extends Decision> long count(List<Decision> decisions, Class<T> type) {
+    return decisions.stream().filter(type::isInstance).count();
+  }
+
+  @Test
+  public void workIsSpreadOverTheLeastLoadedServers() {
+    backend("a", 4, true, 0);
+    backend("b", 4, true, 0);
+    List<Decision> decisions = new ArrayList<>();
+    for (int call = 0; call < 8; call++) {
+      decisions.addAll(dispatcher.submit(online(0, 300, false), 0));
+    }
+    long atFirst =
+        decisions.stream()
+            .filter(
+                decision -> ((Decision.Placed) decision).backend().equals(BackendServerId.of("a")))
+            .count();
+    assertEquals(atFirst, 4);
+  }
+
+  @Test
+  public void onlineWorkTakesThePlacesOfItemsThatCanWait() {
+    backend("a", 2, true, 0);
+    Demand first = item(0, 60_000);
+    assertEquals(count(dispatcher.submit(first, 0), Decision.Placed.class), 1);
+    dispatcher.adopt(item(0, 90_000), BackendServerId.of("a"), 0);
+    ImmutableList<Decision> decisions = dispatcher.submit(online(0, 300, false), 0);
+    assertEquals(count(decisions, Decision.Revoked.class), 1);
+    Decision revoked = decisions.get(0);
+    assertFalse(revoked.demand().equals(first.id()), "the item that is due last goes first");
+    assertEquals(
+        count(
+            dispatcher.finished(revoked.demand(), PlaceResult.CANCELLED, MILLI),
+            Decision.Placed.class),
+        1);
+  }
+
+  @Test
+  public void urgentItemsKeepOnlyAQuarterOfThePlaces() {
+    backend("a", 8, true, 0);
+    for (int index = 0; index < 8; index++) {
+      dispatcher.adopt(item(0, 5000), BackendServerId.of("a"), 0);
+    }
+    List<Decision> decisions = new ArrayList<>();
+    for (int call = 0; call < 8; call++) {
+      decisions.addAll(dispatcher.submit(online(0, 300, false), 0));
+    }
+    assertEquals(count(decisions, Decision.Revoked.class), 6);
+  }
+
+  @Test
+  public void aWaitThatIsTooLongIsRefusedAtOnce() {
+    backend("a", 1, true, 0);
+    dispatcher.submit(online(0, 300, false), 0);
+    assertTrue(dispatcher.submit(online(0, 600, false), 0).isEmpty(), "one may wait");
+    ImmutableList<Decision> decisions = dispatcher.submit(online(0, 300, false), 0);
+    Decision.Refused refused = (Decision.Refused) decisions.get(0);
+    assertEquals(refused.reason(), RefusalReason.TOO_LONG_A_WAIT);
+    assertTrue(refused.retryAfterMillis() >= 200, "callers come back later, not at once");
+  }
+
+  @Test
+  public void nothingIsRefusedWhilePlacesAreFree() {
+    backend("a", 2, true, 0);
+    dispatcher.submit(online(0, 300, false), 0);
+    ImmutableList<Decision> decisions = dispatcher.submit(online(0, 1, false), 0);
+    assertEquals(count(decisions, Decision.Placed.class), 1);
+  }
+
+  @Test
+  public void whatWaitedPastItsObjectiveIsRefusedAndARepeatedRequestWaitsLonger() {
+    backend("a", 1, true, 0);
+    dispatcher.submit(online(0, 300, false), 0);
+    Demand first = online(0, 600, false);
+    Demand repeated = online(0, 600, true);
+    dispatcher.submit(first, 0);
+    dispatcher.submit(repeated, 0);
+    ImmutableList<Decision> late = dispatcher.tick(601 * MILLI);
+    assertEquals(late.size(), 1);
+    assertEquals(late.get(0).demand(), first.id());
+    assertEquals(((Decision.Refused) late.get(0)).reason(), RefusalReason.WAITED_TOO_LONG);
+    ImmutableList<Decision> later = dispatcher.tick(4 * SECOND);
+    assertEquals(later.size(), 1);
+    assertEquals(later.get(0).demand(), repeated.id());
+  }
+
+  @Test
+  public void anOrganisationGetsItsPartOfTheRateInEachWindow() {
+    apply(10, 10);
+    backend("a", 1000, true, 0);
+    dispatcher.setPart(0.5);
+    long placed = 0;
+    for (int call = 0; call < 1000; call++) {
+      placed +=
+          count(
+              dispatcher.submit(online(call * 10 * MILLI, 300, false), call * 10 * MILLI),
+              Decision.Placed.class);
+    }
+    // Ten seconds at half of ten a second, and at most half of the burst.
+    assertTrue(placed <= 55, "placed " + placed);
+    assertTrue(placed >= 50, "placed " + placed);
+  }
+
+  @Test
+  public void aColdServerGetsNoMoreThanItTolerates() {
+    backend("a", 1000, true, 60 * SECOND);
+    int most = 0;
+    List<Long> times = new ArrayList<>();
+    for (int call = 0; call < 400; call++) {
+      long now = call * 10 * MILLI;
+      for (Decision decision : dispatcher.submit(online(now, 100, true), now)) {
+        if (decision instanceof Decision.Placed) {
+          times.add(now);
+        }
+      }
+      times.removeIf(time -> now - time >= SECOND);
+      most = Math.max(most, times.size());
+    }
+    assertTrue(most <= 10, "in one second " + most);
+    assertTrue(most > 0);
+  }
+
+  @DataProvider
+  public Object[][] unusable() {
+    return new Object[][] {{false, "other"}, {true, "d-a"}};
+  }
+
+  @Test(dataProvider = "unusable")
+  public void aServerThatLeavesOrStandsInADrainedDomainGetsNothing(boolean ready, String drained) {
+    backend("a", 4, ready, 0);
+    fleet.setDrainedDomains(ImmutableSet.of(FailureDomainId.of(drained)));
+    ImmutableList<Decision> decisions = dispatcher.submit(online(0, 300, false), 0);
+    assertEquals(((Decision.Refused) decisions.get(0)).reason(), RefusalReason.NO_BACKEND);
+  }
+
+  @Test
+  public void aServerWhoseAddressAnotherHasGetsNothingMore() {
+    backend("a", 4, true, 0);
+    Demand demand = online(0, 300, false);
+    dispatcher.submit(demand, 0);
+    dispatcher.finished(demand.id(), PlaceResult.REPLACED, 0);
+    assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Refused.class), 1);
+  }
+
+  @Test
+  public void aServerThatFailedIsTriedLast() {
+    backend("a", 4, true, 0);
+    Demand demand = online(0, 300, false);
+    dispatcher.submit(demand, 0);
+    dispatcher.finished(demand.id(), PlaceResult.FAILED, 0);
+    backend("b", 4, true, 0);
+    for (int call = 0; call < 4; call++) {
+      Decision.Placed placed = (Decision.Placed) dispatcher.submit(online(0, 300, false), 0).get(0);
+      assertEquals(placed.backend(), BackendServerId.of("b"));
+    }
+    Decision.Placed fifth = (Decision.Placed) dispatcher.submit(online(0, 300, false), 0).get(0);
+    assertEquals(fifth.backend(), BackendServerId.of("a"));
+  }
+
+  @Test
+  public void aHostThatGreetsAnewHoldsNoPlaces() {
+    backend("a", 1, true, 0);
+    dispatcher.submit(online(0, 300, false), 0);
+    dispatcher.hostRestarted(HostId.of("h"));
+    assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Placed.class), 1);
+  }
+
+  @Test
+  public void placesOfALostHostAreFreeAfterATime() {
+    backend("a", 1, true, 0);
+    dispatcher.submit(online(0, 300, false), 0);
+    dispatcher.hostLost(HostId.of("h"), 0);
+    dispatcher.tick(SECOND);
+    assertEquals(dispatcher.runningCount(), 1);
+    dispatcher.tick(3 * SECOND);
+    assertEquals(dispatcher.runningCount(), 0);
+  }
+
+  /** Peaks of five times the trough every six seconds, with items that would fill all places. */
+  @Test
+  public void streamsAreOnTimeInPeaksWhileItemsFillTheTroughs() {
+    for (int server = 0; server < 6; server++) {
+      backend("s" + server, 8, true, 0);
+    }
+    PeakReplay.Outcome outcome = new PeakReplay(dispatcher, SERVICE, 20261204).play(30);
+    assertTrue(
+        outcome.onTime() >= 0.97 * outcome.asked(),
+        outcome.onTime() + " of " + outcome.asked() + " on time");
+    assertTrue(outcome.itemsDone() >= 70, outcome.itemsDone() + " items done");
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/PeakReplay.java
@@ -0,0 +1,138 @@
+package org.trefoilbarrow.coordination.dispatch;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.trefoilbarrow.protocol.HostId;
+
+/** Replays drawn arrivals with peaks against a dispatcher; work ends after drawn times. */
+final class PeakReplay {
+  private static final long MILLI = 1_000_000;
+  private static final long SECOND = 1000 * MILLI;
+  private static final double TROUGH_RATE = 11;
+  private static final double PEAK_RATE = 54;
+  private static final double ITEM_RATE = 3.5;
+  private static final double STREAM_SECONDS = 0.73;
+  private static final double ITEM_SECONDS = 4.9;
+  private static final long OBJECTIVE_MILLIS = 225;
+  private static final long DUE_MILLIS = 18_000;
+
+  private final Dispatcher dispatcher;
+  private final String service;
+  private final Random random;
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Map<DemandId, Work> works = new HashMap<>();
+  private long nextCall;
+  private long sequence;
+  private int asked;
+  private int onTime;
+  private int itemsDone;
+
+  /** What became of the replayed work. */
+  record Outcome(int asked, int onTime, int itemsDone) {}
+
+  private record Event(long at, long order, Runnable run) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+    }
+  }
+
+  private static final class Work {
+    boolean batch;
+    long objective;
+    double secondsLeft;
+    long placedAt;
+    int life;
+  }
+
+  PeakReplay(Dispatcher dispatcher, String service, long seed) {
+    this.dispatcher = dispatcher;
+    this.service = service;
+    this.random = new Random(seed);
+  }
+
+  Outcome play(int seconds) {
+    for (long millis = 0; millis < seconds * 1000L; millis++) {
+      long now = millis * MILLI;
+      boolean peak = millis % 6000 >= 3600;
+      if (random.nextDouble() < (peak ? PEAK_RATE : TROUGH_RATE) / 1000) {
+        at(now, () -> submit(now, false, STREAM_SECONDS * (0.5 + random.nextDouble())));
+        asked++;
+      }
+      if (random.nextDouble() < ITEM_RATE / 1000) {
+        at(now, () -> submit(now, true, ITEM_SECONDS * (0.5 + random.nextDouble())));
+      }
+      if (millis % 50 == 0) {
+        at(now, () -> take(dispatcher.tick(now), now));
+      }
+    }
+    while (!events.isEmpty()) {
+      events.poll().run().run();
+    }
+    return new Outcome(asked, onTime, itemsDone);
+  }
+
+  private void at(long time, Runnable run) {
+    events.add(new Event(time, sequence++, run));
+  }
+
+  private void submit(long now, boolean batch, double seconds) {
+    Work work = new Work();
+    work.batch = batch;
+    work.secondsLeft = seconds;
+    work.objective = now + (batch ? DUE_MILLIS : OBJECTIVE_MILLIS) * MILLI;
+    submit(work, now);
+  }
+
+  private void submit(Work work, long now) {
+    DemandId id = new DemandId(HostId.of(work.batch ? "jobs" : "callers"), nextCall++);
+    works.put(id, work);
+    Demand demand =
+        new Demand(
+            id,
+            service,
+            Optional.empty(),
+            work.batch ? 2 : 0,
+            work.batch,
+            work.objective,
+            now + 5 * SECOND,
+            work.batch,
+            ImmutableSet.of());
+    take(dispatcher.submit(demand, now), now);
+  }
+
+  private void take(List<Decision> decisions, long now) {
+    for (Decision decision : decisions) {
+      Work work = works.get(decision.demand());
+      if (decision instanceof Decision.Placed) {
+        work.placedAt = now;
+        work.life++;
+        onTime += !work.batch && now <= work.objective ? 1 : 0;
+        int life = work.life;
+        long end = now + (long) (work.secondsLeft * SECOND);
+        at(end, () -> end(decision.demand(), work, life, end));
+      } else if (decision instanceof Decision.Revoked) {
+        work.life++;
+        work.secondsLeft -= (now - work.placedAt) / (double) SECOND;
+        at(now + 2 * MILLI, () -> giveBack(decision.demand(), work, now + 2 * MILLI));
+      }
+    }
+  }
+
+  private void end(DemandId id, Work work, int life, long now) {
+    if (work.life == life) {
+      itemsDone += work.batch ? 1 : 0;
+      take(dispatcher.finished(id, PlaceResult.ANSWERED, now), now);
+    }
+  }
+
+  private void giveBack(DemandId id, Work work, long now) {
+    take(dispatcher.finished(id, PlaceResult.CANCELLED, now), now);
+    submit(work, now);
+  }
+}
