--- a/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
@@ -59,7 +59,6 @@
       address(mistakes, source, "/readinessAddress", settings.readinessAddress());
     }
     port(mistakes, source, "/linkPort", settings.linkPort());
-    port(mistakes, source, "/metricsPort", settings.metricsPort());
     positive(mistakes, source, "/platformCallsPerSecond", settings.platformCallsPerSecond());
     positive(mistakes, source, "/shutdownSeconds", settings.shutdownSeconds());
     return mistakes.build();
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -284,7 +284,7 @@
             backend.id(),
             "result",
             result,
-            "event",
+            "lastEvent",
             lastEvent.orElse(""));
     endPlace(result);
     excluded.add(backend.id());
