Say once which event follows which, and drop what nothing uses

The order of events stood in forwarded calls and in items; it is EventStream.Event.isAfter now, with a parameterised test. Counters that nothing read are gone. Behaviour as before.

--- a/server/src/main/java/org/trefoilbarrow/state/fleet/Catalog.java
+++ b/server/src/main/java/org/trefoilbarrow/state/fleet/Catalog.java
@@ -47,11 +47,6 @@
         .findFirst();
   }
 
-  /** Returns whether any route has the given host name. */
-  public boolean knowsHostName(String hostName) {
-    return routes.stream().anyMatch(route -> route.hostName().equals(hostName));
-  }
-
   /** Returns the organisation that holds a key. */
   public Optional<Organisation> holderOf(String key) {
     return Optional.ofNullable(keys.get(key)).map(organisations::get);
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
@@ -50,7 +50,6 @@
   private final HttpDialect dialect;
   private final LongSupplier nanoClock;
   private final Map<BackendServerId, Deque<Connection>> idle = new HashMap<>();
-  private long opened;
 
   /** Ends the use of a connection before its answer is complete. */
   @FunctionalInterface
@@ -66,11 +65,6 @@
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
   }
 
-  /** Returns the number of connections opened so far. */
-  public long opened() {
-    return opened;
-  }
-
   /** Sends a request to a backend server. */
   public Cancellation send(
       BackendServer backend, FullHttpRequest request, BackendExchange exchange) {
@@ -132,7 +126,6 @@
     }
 
     void open(FullHttpRequest request) {
-      opened++;
       ChannelFuture connecting =
           new Bootstrap()
               .group(loop)
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/EventLog.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/EventLog.java
@@ -50,11 +50,6 @@
     }
   }
 
-  /** Returns the number of lines that were dropped so far. */
-  public long dropped() {
-    return dropped.get();
-  }
-
   private String encode(String part, String event, Object... fields) {
     StringWriter text = new StringWriter(160);
     try (JsonGenerator json = JSON.createGenerator(text)) {
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/EventStream.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/EventStream.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
@@ -27,6 +28,19 @@
    * @param data the event's data lines, joined by line feeds; absent if there are none
    */
   public record Event(byte[] bytes, Optional<String> id, Optional<String> data) {
+    /**
+     * Returns whether the event comes after another of the same stream. Identifiers grow; those
+     * that are not numbers are only compared for equality.
+     */
+    public boolean isAfter(Optional<String> last) {
+      if (last.isEmpty() || id.isEmpty()) {
+        return true;
+      }
+      Long number = Longs.tryParse(id.get());
+      Long lastNumber = Longs.tryParse(last.get());
+      return number == null || lastNumber == null ? !id.equals(last) : number > lastNumber;
+    }
+
     static Event parse(byte[] bytes) {
       Optional<String> id = Optional.empty();
       StringBuilder data = null;
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -398,7 +398,7 @@
     }
 
     private void pass(EventStream.Event event) {
-      if (event.id().isPresent() && isPassed(event.id().get())) {
+      if (!event.isAfter(lastEvent)) {
         return;
       }
       if (!answerBegun) {
@@ -413,18 +413,6 @@
       responder.part(Unpooled.wrappedBuffer(event.bytes()));
     }
 
-    /** Returns whether an event is one that the caller has already. */
-    private boolean isPassed(String id) {
-      if (lastEvent.isEmpty()) {
-        return false;
-      }
-      try {
-        return Long.parseLong(id) <= Long.parseLong(lastEvent.get());
-      } catch (NumberFormatException e) {
-        return id.equals(lastEvent.get());
-      }
-    }
-
     @Override
     public void onEnd() {
       ended = true;
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -264,7 +264,7 @@
     }
 
     private void take(EventStream.Event event) {
-      if (event.id().isEmpty() || isTaken(event.id().get())) {
+      if (event.id().isEmpty() || !event.isAfter(lastEvent)) {
         return;
       }
       lastEvent = event.id();
@@ -280,17 +280,6 @@
               });
     }
 
-    private boolean isTaken(String id) {
-      if (lastEvent.isEmpty()) {
-        return false;
-      }
-      try {
-        return Long.parseLong(id) <= Long.parseLong(lastEvent.get());
-      } catch (NumberFormatException e) {
-        return id.equals(lastEvent.get());
-      }
-    }
-
     @Override
     public void onEnd() {
       ended = true;
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
@@ -72,7 +72,6 @@
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final Map<HostId, Link> links = new LinkedHashMap<>();
   private final Map<HostId, Channel> clients = new HashMap<>();
-  private final Map<HostId, PeerAddress> peers = new HashMap<>();
   private final Set<HostId> callerHosts = new HashSet<>();
   private final List<Runnable> onPeersChanged = new ArrayList<>();
   private PeerMessages peerMessages = PeerMessages.NONE;
@@ -183,8 +182,6 @@
         link.close();
       }
     }
-    peers.clear();
-    peers.putAll(wanted);
     for (PeerAddress peer : wanted.values()) {
       links.computeIfAbsent(peer.host(), host -> connect(peer));
     }
--- a/server/src/test/java/org/trefoilbarrow/transport/forward/EventStreamTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/forward/EventStreamTest.java
@@ -37,4 +37,27 @@
     assertTrue(stream.isInsideEvent(), "the third numbered event is not whole");
     assertFalse(new EventStream().isInsideEvent());
   }
+
+  @DataProvider
+  public Object[][] followers() {
+    return new Object[][] {
+      {"2", Optional.empty(), true},
+      {"2", Optional.of("1"), true},
+      {"10", Optional.of("9"), true},
+      {"2", Optional.of("2"), false},
+      {"1", Optional.of("2"), false},
+      {"b", Optional.of("a"), true},
+      {"a", Optional.of("a"), false}
+    };
+  }
+
+  @Test(dataProvider = "followers")
+  public void anEventThatIsThereAlreadyComesAfterNothing(
+      String id, Optional<String> last, boolean after) {
+    EventStream.Event event =
+        new EventStream()
+            .take(Unpooled.wrappedBuffer(("id: " + id + "\n\n").getBytes(UTF_8)))
+            .get(0);
+    assertEquals(event.isAfter(last), after);
+  }
 }
