--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -258,7 +258,9 @@
       return Optional.of(refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY.toNanos()));
     }
     if (!demand.repeated()) {
-      int excess = queue.online.size() + 1 - free - interruptible(demand.service(), nowNanos);
+      int coming =
+          interruptible(demand.service(), nowNanos) + revokedRunning(demand.service());
+      int excess = queue.online.size() + 1 - free - coming;
       double waitNanos = Math.max(0, excess) * queue.serviceNanos / places;
       if (nowNanos + waitNanos > demand.objectiveNanos()) {
         return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
@@ -314,6 +316,17 @@
     return items.subList(0, items.size() - kept);
   }
 
+  /** Returns the number of items that were asked to give their places back and have not yet. */
+  private int revokedRunning(String service) {
+    int revoked = 0;
+    for (Running entry : running.values()) {
+      if (entry.revoked && entry.demand.service().equals(service)) {
+        revoked++;
+      }
+    }
+    return revoked;
+  }
+
   private int urgentRunning(String service, long nowNanos) {
     int urgent = 0;
     for (Running entry : running.values()) {
@@ -407,12 +420,7 @@
 
   private void interrupt(
       int wanted, String service, ImmutableList.Builder<Decision> decisions, long nowNanos) {
-    int missing = wanted;
-    for (Running entry : running.values()) {
-      if (entry.revoked && entry.demand.service().equals(service)) {
-        missing--;
-      }
-    }
+    int missing = wanted - revokedRunning(service);
     if (missing <= 0) {
       return;
     }
