--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -258,8 +258,7 @@
       return Optional.of(refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY.toNanos()));
     }
     if (!demand.repeated()) {
-      int coming =
-          interruptible(demand.service(), nowNanos) + revokedRunning(demand.service());
+      int coming = interruptible(demand.service(), nowNanos) + revokedRunning(demand.service());
       int excess = queue.online.size() + 1 - free - coming;
       double waitNanos = Math.max(0, excess) * queue.serviceNanos / places;
       if (nowNanos + waitNanos > demand.objectiveNanos()) {
