Count places in one way when a wait is judged

refusal() counted places and free places in a loop of its own beside places() and freePlaces(). Behaviour as before; DispatcherTest, formatter and linter of server/ pass.

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -246,20 +246,13 @@
   }
 
   private Optional<Decision> refusal(Demand demand, Queue queue, long nowNanos) {
-    int places = 0;
-    int free = 0;
-    for (BackendServer backend : fleet.backends()) {
-      if (serves(backend, demand.service())) {
-        places += backend.slots();
-        free += Math.max(0, backend.slots() - load(backend.id()).running());
-      }
-    }
+    int places = places(demand.service());
     if (places == 0) {
       return Optional.of(refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY.toNanos()));
     }
     if (!demand.repeated()) {
       int coming = interruptible(demand.service(), nowNanos) + revokedRunning(demand.service());
-      int excess = queue.online.size() + 1 - free - coming;
+      int excess = queue.online.size() + 1 - freePlaces(demand.service()) - coming;
       double waitNanos = Math.max(0, excess) * queue.serviceNanos / places;
       if (nowNanos + waitNanos > demand.objectiveNanos()) {
         return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
