Serve counters and histograms; never say not run of a request that is at a backend server

Cause: nothing but the log told what a host did, and on reaching its time limit a request that was at a backend server without having answered was refused with 503, which says that it has not run: the count of runs only rises when a run ends. Found by reading the ends of a call while giving each an outcome.

Change: one path for each end of a call (log line, counter); 504 when the request is at a backend server; requests that no backend server took now leave a line; metrics as text on a port of the settings (Dropwizard Metrics, Prometheus client for the format).

Seen failing first: WholePathTest.aRequestThatMayHaveRunIsNotSaidNotToHaveRun.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetAdapter.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetAdapter.java
@@ -21,5 +21,8 @@
   interface ConnectedPlatform extends Platform {
     /** Returns when the platform last answered, by the clock given on connecting. */
     long lastAnswerNanos();
+
+    /** Returns the number of calls made so far. */
+    long callCount();
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.net.HostAndPort;
@@ -49,6 +50,8 @@
 import org.trefoilbarrow.transport.jobs.JobTable;
 import org.trefoilbarrow.transport.link.PeerAddress;
 import org.trefoilbarrow.transport.link.Placements;
+import org.trefoilbarrow.transport.metrics.FleetMetrics;
+import org.trefoilbarrow.transport.metrics.MetricsEndpoint;
 import org.trefoilbarrow.transport.platform.CollectionWatcher;
 
 /**
@@ -93,6 +96,7 @@
   private final Map<String, PeerAddress> peers = new HashMap<>();
   private final Set<String> drained = new HashSet<>();
   private final FleetAdapter.ConnectedPlatform platform;
+  private final FleetMetrics metrics = new FleetMetrics(new MetricRegistry());
   private final PeerAddress self;
   private final Placements placements;
   private final JobObjects objects;
@@ -142,7 +146,9 @@
             new BackendConnections(loop, adapter.dialect(), nanoClock),
             adapter.dialect(),
             log,
+            metrics,
             nanoClock);
+    registerGauges(dispatcher);
   }
 
   /** Starts all parts. */
@@ -221,6 +227,17 @@
       runner = Optional.of(created);
     }
     placements.start();
+    if (settings.metricsPort() > 0) {
+      new MetricsEndpoint(loop, metrics).listen(settings.address(), settings.metricsPort());
+    }
+  }
+
+  private void registerGauges(Dispatcher dispatcher) {
+    metrics.gauge("dispatch_waiting", dispatcher::waitingCount);
+    metrics.gauge("dispatch_running", dispatcher::runningCount);
+    metrics.gauge("platform_calls", platform::callCount);
+    metrics.gauge("log_lines_dropped", log::droppedCount);
+    metrics.gauge("configuration_version", () -> fleet.catalog().map(Catalog::version).orElse(0L));
   }
 
   private boolean isFit() {
--- a/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettings.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettings.java
@@ -13,6 +13,7 @@
  * @param callerAddress where callers reach the host, as {@code IP:port}; null where none do
  * @param readinessAddress where the host is asked if it may get connections; null where it is not
  * @param linkPort the TCP port for other hosts
+ * @param metricsPort the TCP port that serves metrics; 0 serves none
  * @param platform the platform's address, as {@code IP:port}
  * @param platformCallsPerSecond the calls a second that this host may make at most
  * @param shutdownSeconds how long the host may take to end after it was told to
@@ -26,6 +27,7 @@
     @Nullable String callerAddress,
     @Nullable String readinessAddress,
     int linkPort,
+    int metricsPort,
     String platform,
     double platformCallsPerSecond,
     double shutdownSeconds) {}
--- a/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
@@ -13,6 +13,8 @@
  * at once.
  */
 public final class FleetHostSettingsLoader {
+  private static final int HIGHEST_PORT = 65_535;
+
   private FleetHostSettingsLoader() {}
 
   /**
@@ -58,7 +60,8 @@
       address(mistakes, source, "/callerAddress", settings.callerAddress());
       address(mistakes, source, "/readinessAddress", settings.readinessAddress());
     }
-    port(mistakes, source, "/linkPort", settings.linkPort());
+    port(mistakes, source, "/linkPort", settings.linkPort(), 1);
+    port(mistakes, source, "/metricsPort", settings.metricsPort(), 0);
     positive(mistakes, source, "/platformCallsPerSecond", settings.platformCallsPerSecond());
     positive(mistakes, source, "/shutdownSeconds", settings.shutdownSeconds());
     return mistakes.build();
@@ -92,9 +95,18 @@
   }
 
   private static void port(
-      ImmutableList.Builder<SettingsMistake> mistakes, String source, String path, int value) {
-    if (value < 1 || value > 65_535) {
-      mistakes.add(new SettingsMistake(source, 0, path, "must be from 1 to 65535: " + value));
+      ImmutableList.Builder<SettingsMistake> mistakes,
+      String source,
+      String path,
+      int value,
+      int lowest) {
+    if (value < lowest || value > HIGHEST_PORT) {
+      mistakes.add(
+          new SettingsMistake(
+              source,
+              0,
+              path,
+              String.format("must be from %d to %d: %d", lowest, HIGHEST_PORT, value)));
     }
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/EventLog.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/EventLog.java
@@ -50,6 +50,11 @@
     }
   }
 
+  /** Returns the number of lines that were dropped. */
+  public long droppedCount() {
+    return dropped.get();
+  }
+
   private String encode(String part, String event, Object... fields) {
     StringWriter text = new StringWriter(160);
     try (JsonGenerator json = JSON.createGenerator(text)) {
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
@@ -4,6 +4,7 @@
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.state.fleet.FleetView;
 import org.trefoilbarrow.transport.link.Placements;
+import org.trefoilbarrow.transport.metrics.FleetMetrics;
 
 /**
  * What forwarded calls share.
@@ -14,6 +15,7 @@
  * @param connections the connections to backend servers
  * @param dialect how callers and backend servers speak
  * @param log the log of decisions
+ * @param metrics the counters and histograms
  * @param nanoClock the monotonic clock
  */
 public record ForwardServices(
@@ -23,4 +25,5 @@
     BackendConnections connections,
     HttpDialect dialect,
     EventLog log,
+    FleetMetrics metrics,
     LongSupplier nanoClock) {}
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -27,6 +27,7 @@
 import org.trefoilbarrow.state.fleet.Route;
 import org.trefoilbarrow.transport.link.PlaceListener;
 import org.trefoilbarrow.transport.link.WorkDemand;
+import org.trefoilbarrow.transport.metrics.FleetMetrics;
 
 /**
  * Leads one request of a caller to its end: asks for a place, sends it, sends it again where that
@@ -102,9 +103,8 @@
   /** The caller has left. */
   void cancel() {
     if (!done) {
-      log("cancelled");
       endPlace(PlaceResult.CANCELLED);
-      finish();
+      end("cancelled");
     }
   }
 
@@ -156,6 +156,7 @@
     }
     Exchange next = new Exchange(backend);
     exchange = Optional.of(next);
+    reached(FleetMetrics.Stage.PLACED);
     services
         .log()
         .add(
@@ -184,28 +185,24 @@
     if (done) {
       return;
     }
-    if (answerBegun) {
-      // A stream that was cut finds no other place.
-      log("cut");
-      responder.breakOff();
-    } else if (runs > 0) {
-      log("failed");
-      responder.refuse(ErrorKind.BACKEND_FAILED, 0);
-    } else {
-      services
-          .log()
-          .add(
-              "forward",
-              "refused",
-              "request",
-              facts.requestId(),
-              "reason",
-              reason,
-              "retryAfterMillis",
-              retryAfterMillis);
-      responder.refuse(kindOf(reason), retryAfterMillis);
+    if (answerBegun || runs > 0) {
+      // Work that was lost at one backend server finds no place at another.
+      endAfterRun();
+      return;
     }
-    finish();
+    services
+        .log()
+        .add(
+            "forward",
+            "refused",
+            "request",
+            facts.requestId(),
+            "reason",
+            reason,
+            "retryAfterMillis",
+            retryAfterMillis);
+    responder.refuse(kindOf(reason), retryAfterMillis);
+    finish("refused_" + reason);
   }
 
   @Override
@@ -225,20 +222,25 @@
     if (done) {
       return;
     }
-    log("timeout");
+    // What is at a backend server may be running there.
+    final boolean atBackend = exchange.isPresent();
     endPlace(PlaceResult.CANCELLED);
     if (answerBegun) {
       responder.breakOff();
-    } else if (runs > 0) {
+    } else if (runs > 0 || atBackend) {
       responder.refuse(ErrorKind.BACKEND_TIMEOUT, 0);
     } else {
       responder.refuse(ErrorKind.QUEUE_FULL, 0);
     }
-    finish();
+    end("timeout");
   }
 
   private void endPlace(PlaceResult result) {
-    exchange.ifPresent(Exchange::cancel);
+    exchange.ifPresent(
+        current -> {
+          current.cancel();
+          services.metrics().placeEnded(current.backend.id(), result.name());
+        });
     exchange = Optional.empty();
     if (place >= 0) {
       services.placements().finished(place, result);
@@ -246,13 +248,37 @@
     }
   }
 
-  private void finish() {
+  /** Ends a call that may have run, and whose answer can't be had. */
+  private void endAfterRun() {
+    if (answerBegun) {
+      responder.breakOff();
+      end("cut");
+    } else {
+      responder.refuse(ErrorKind.BACKEND_FAILED, 0);
+      end("failed");
+    }
+  }
+
+  private void end(String outcome) {
+    log(outcome);
+    finish(outcome);
+  }
+
+  private void finish(String outcome) {
+    services.metrics().requestEnded(organisation.map(Organisation::id), route.name(), outcome);
     done = true;
     timeout.cancel(false);
     request.release();
     onDone.run();
   }
 
+  private void reached(FleetMetrics.Stage stage) {
+    services
+        .metrics()
+        .requestReached(
+            stage, organisation.map(Organisation::id), route.repeat().name(), now() - startNanos);
+  }
+
   private void log(String event) {
     services
         .log()
@@ -293,13 +319,7 @@
       askForPlace(Optional.empty(), true);
       return;
     }
-    log("failed");
-    if (answerBegun) {
-      responder.breakOff();
-    } else {
-      responder.refuse(ErrorKind.BACKEND_FAILED, 0);
-    }
-    finish();
+    endAfterRun();
   }
 
   /** Sends the request elsewhere after it certainly did not run. */
@@ -322,14 +342,12 @@
       askForPlace(Optional.empty(), true);
       return;
     }
-    if (answerBegun) {
-      responder.breakOff();
-    } else if (runs > 0) {
-      responder.refuse(ErrorKind.BACKEND_FAILED, 0);
-    } else {
-      responder.refuse(ErrorKind.QUEUE_FULL, route.targetMillis());
+    if (answerBegun || runs > 0) {
+      endAfterRun();
+      return;
     }
-    finish();
+    responder.refuse(ErrorKind.QUEUE_FULL, route.targetMillis());
+    end("unrun everywhere");
   }
 
   /** One send of the request to a backend server. */
@@ -403,6 +421,7 @@
       }
       if (!answerBegun) {
         answerBegun = true;
+        reached(FleetMetrics.Stage.FIRST_PIECE);
         HttpHeaders headers = HopHeaders.without(head.get().headers());
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         responder.begin(head.get().status(), headers);
@@ -434,14 +453,14 @@
         afterRun(backend, PlaceResult.FAILED);
         return;
       }
-      log("answered");
       endPlace(PlaceResult.ANSWERED);
       if (!answerBegun) {
         answerBegun = true;
         responder.begin(head.get().status(), HopHeaders.without(head.get().headers()));
       }
       responder.end();
-      finish();
+      reached(FleetMetrics.Stage.ANSWERED);
+      end("answered");
     }
 
     private void endWhole() {
@@ -456,10 +475,10 @@
         afterRun(backend, PlaceResult.FAILED);
         return;
       }
-      log(failed ? "failed by backend" : "answered");
       endPlace(failed ? PlaceResult.FAILED : PlaceResult.ANSWERED);
       responder.answer(answer.status(), HopHeaders.without(answer.headers()), body);
-      finish();
+      reached(FleetMetrics.Stage.ANSWERED);
+      end(failed ? "failed by backend" : "answered");
     }
 
     @Override
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -56,6 +56,7 @@
   private final Route route;
   private final JobRunner runner;
   private final long dueNanos;
+  private final long startNanos;
   private final StringBuilder output = new StringBuilder();
   private final Set<BackendServerId> excluded = new HashSet<>();
   private Optional<String> lastEvent = Optional.empty();
@@ -77,7 +78,8 @@
     this.route = checkNotNull(route, "route");
     this.runner = checkNotNull(runner, "runner");
     long dueInMillis = ledger.job().submittedMillis() + route.runTargetMillis() - nowMillis;
-    this.dueNanos = now() + dueInMillis * NANOS_IN_MILLI;
+    this.startNanos = now();
+    this.dueNanos = startNanos + dueInMillis * NANOS_IN_MILLI;
   }
 
   void start() {
@@ -195,7 +197,11 @@
   }
 
   private void endPlace(PlaceResult result) {
-    exchange.ifPresent(Exchange::cancel);
+    exchange.ifPresent(
+        current -> {
+          current.cancel();
+          services.metrics().placeEnded(current.backend.id(), result.name());
+        });
     exchange = Optional.empty();
     if (place >= 0) {
       services.placements().finished(place, result);
@@ -204,6 +210,7 @@
   }
 
   private void log(String event) {
+    services.metrics().item(ledger.job().organisation(), event);
     services
         .log()
         .add(
@@ -292,6 +299,7 @@
         log("done");
         endPlace(PlaceResult.ANSWERED);
         done = true;
+        services.metrics().itemEnded(ledger.job().organisation(), now() - startNanos);
         ledger.done(item.id(), output.toString());
         runner.ended(ledger, item.id());
       } else if (status == UNPROCESSABLE) {
