Cut the dispatcher along its jobs

What counts and chooses is BackendPlaces now, what waits is WaitingQueue. Behaviour is unchanged (DispatcherTest, PlacementsTest).

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.function.DoubleSupplier;
 import org.trefoilbarrow.coordination.token.Grant;
 import org.trefoilbarrow.coordination.token.VariableBucket;
@@ -22,7 +21,6 @@
 import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.FleetView;
 import org.trefoilbarrow.state.fleet.Organisation;
-import org.trefoilbarrow.state.fleet.Service;
 
 /**
  * Places work of all hosts at backend servers.
@@ -39,15 +37,14 @@
   private static final Duration NO_BACKEND_RETRY = Duration.ofMillis(400);
   private static final Duration MIN_RETRY = Duration.ofMillis(200);
   private static final Duration RETRY_SPREAD = Duration.ofMillis(600);
-  private static final double SERVICE_TIME_WEIGHT = 0.05;
 
   private final FleetView fleet;
   private final DispatchRules rules;
   private final DoubleSupplier random;
-  private final Map<BackendServerId, BackendLoad> loads = new HashMap<>();
+  private final BackendPlaces places;
   private final Map<DemandId, Running> running = new HashMap<>();
   private final Map<DemandId, Demand> waiting = new HashMap<>();
-  private final Map<String, Queue> queues = new HashMap<>();
+  private final Map<String, WaitingQueue> queues = new HashMap<>();
   private final Map<OrganisationId, VariableBucket> buckets = new HashMap<>();
   private final Map<HostId, Long> lostHosts = new HashMap<>();
   private double part = 1;
@@ -66,30 +63,6 @@
     }
   }
 
-  /** The demands of one service that wait. */
-  private static final class Queue {
-    static final Comparator<Demand> BY_RANK =
-        Comparator.comparingInt(Demand::priority)
-            .thenComparingLong(Demand::objectiveNanos)
-            .thenComparing(demand -> demand.id().host().value())
-            .thenComparingLong(demand -> demand.id().call());
-    static final Comparator<Demand> BY_OBJECTIVE =
-        Comparator.comparingLong(Demand::objectiveNanos)
-            .thenComparing(demand -> demand.id().host().value())
-            .thenComparingLong(demand -> demand.id().call());
-
-    final TreeSet<Demand> online = new TreeSet<>(BY_RANK);
-    final TreeSet<Demand> late = new TreeSet<>(BY_OBJECTIVE);
-    final TreeSet<Demand> batch = new TreeSet<>(BY_OBJECTIVE);
-    double serviceNanos;
-
-    void remove(Demand demand) {
-      online.remove(demand);
-      late.remove(demand);
-      batch.remove(demand);
-    }
-  }
-
   /**
    * Creates a dispatcher without work.
    *
@@ -99,6 +72,7 @@
     this.fleet = checkNotNull(fleet, "fleet");
     this.rules = checkNotNull(rules, "rules");
     this.random = checkNotNull(random, "random");
+    this.places = new BackendPlaces(fleet, rules, random);
   }
 
   /** Sets the part of each limit that this dispatcher may give out, above 0 and at most 1. */
@@ -112,7 +86,7 @@
     if (waiting.containsKey(demand.id()) || running.containsKey(demand.id())) {
       return ImmutableList.of();
     }
-    Queue queue = queue(demand.service());
+    WaitingQueue queue = queue(demand.service());
     if (!demand.batch()) {
       Optional<Decision> refusal = refusal(demand, queue, nowNanos);
       if (refusal.isPresent()) {
@@ -120,14 +94,14 @@
       }
     }
     waiting.put(demand.id(), demand);
-    (demand.batch() ? queue.batch : queue.online).add(demand);
+    queue.add(demand);
     return pump(demand.service(), nowNanos);
   }
 
   /** Counts work that a host already runs, as told by the host. */
   public void adopt(Demand demand, BackendServerId backend, long nowNanos) {
     if (running.putIfAbsent(demand.id(), new Running(demand, backend, nowNanos)) == null) {
-      load(backend).adopted();
+      places.load(backend).adopted();
     }
   }
 
@@ -142,7 +116,7 @@
     if (ended == null) {
       return ImmutableList.of();
     }
-    BackendLoad load = load(ended.backend);
+    BackendLoad load = places.load(ended.backend);
     load.ended();
     learn(ended, load, result, nowNanos);
     return pump(ended.demand.service(), nowNanos);
@@ -173,7 +147,7 @@
               running.values().removeIf(entry -> release(entry, lost.getKey()));
               return true;
             });
-    loads.keySet().removeIf(id -> fleet.backend(id).isEmpty() && load(id).running() == 0);
+    places.forgetGone();
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
     for (String service : ImmutableList.copyOf(queues.keySet())) {
       decisions.addAll(pump(service, nowNanos));
@@ -200,11 +174,11 @@
                 String.format(
                     "%s online %d late %d batch %d places %d free %d; ",
                     service,
-                    queue.online.size(),
-                    queue.late.size(),
-                    queue.batch.size(),
-                    places(service),
-                    freePlaces(service))));
+                    queue.online().size(),
+                    queue.late().size(),
+                    queue.batch().size(),
+                    places.count(service),
+                    places.free(service))));
     return text.toString().trim();
   }
 
@@ -225,7 +199,7 @@
     if (!entry.demand.id().host().equals(host)) {
       return false;
     }
-    load(entry.backend).ended();
+    places.load(entry.backend).ended();
     return true;
   }
 
@@ -234,9 +208,7 @@
       case ANSWERED -> {
         load.succeeded();
         if (!ended.demand.batch()) {
-          Queue queue = queue(ended.demand.service());
-          queue.serviceNanos +=
-              SERVICE_TIME_WEIGHT * (nowNanos - ended.sinceNanos - queue.serviceNanos);
+          queue(ended.demand.service()).measured(nowNanos - ended.sinceNanos);
         }
       }
       case FAILED, STALLED, NOT_RUN -> load.failed(nowNanos, rules);
@@ -245,15 +217,15 @@
     }
   }
 
-  private Optional<Decision> refusal(Demand demand, Queue queue, long nowNanos) {
-    int places = places(demand.service());
-    if (places == 0) {
+  private Optional<Decision> refusal(Demand demand, WaitingQueue queue, long nowNanos) {
+    int all = places.count(demand.service());
+    if (all == 0) {
       return Optional.of(refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY.toNanos()));
     }
     if (!demand.repeated()) {
       int coming = interruptible(demand.service(), nowNanos) + revokedRunning(demand.service());
-      int excess = queue.online.size() + 1 - freePlaces(demand.service()) - coming;
-      double waitNanos = Math.max(0, excess) * queue.serviceNanos / places;
+      int excess = queue.online().size() + 1 - places.free(demand.service()) - coming;
+      double waitNanos = Math.max(0, excess) * queue.serviceNanos() / all;
       if (nowNanos + waitNanos > demand.objectiveNanos()) {
         return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
       }
@@ -299,7 +271,7 @@
         urgent += isUrgent(entry.demand, nowNanos) ? 1 : 0;
       }
     }
-    int kept = Math.min(urgent, (int) (places(service) * rules.keptForUrgent()));
+    int kept = Math.min(urgent, (int) (places.count(service) * rules.keptForUrgent()));
     items.sort(
         Comparator.comparing((Running entry) -> isUrgent(entry.demand, nowNanos))
             .thenComparing(
@@ -337,24 +309,24 @@
   }
 
   private ImmutableList<Decision> pump(String service, long nowNanos) {
-    Queue queue = queue(service);
+    WaitingQueue queue = queue(service);
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
     moveLate(queue, decisions, nowNanos);
     List<Demand> urgent = new ArrayList<>();
-    for (Demand demand : queue.batch) {
+    for (Demand demand : queue.batch()) {
       if (isUrgent(demand, nowNanos)) {
         urgent.add(demand);
       }
     }
-    int kept = (int) (places(service) * rules.keptForUrgent());
-    int room = queue.online.isEmpty() ? urgent.size() : kept - urgentRunning(service, nowNanos);
+    int kept = (int) (places.count(service) * rules.keptForUrgent());
+    int room = queue.online().isEmpty() ? urgent.size() : kept - urgentRunning(service, nowNanos);
     placeAll(urgent.subList(0, Math.max(0, Math.min(room, urgent.size()))), 0, decisions, nowNanos);
-    placeAll(new ArrayList<>(queue.online), 0, decisions, nowNanos);
-    interrupt(queue.online.size(), service, decisions, nowNanos);
-    if (queue.online.isEmpty()) {
-      int reserve = (int) Math.ceil(places(service) * rules.batchReserve());
-      placeAll(new ArrayList<>(queue.batch), reserve, decisions, nowNanos);
-      placeAll(new ArrayList<>(queue.late), 0, decisions, nowNanos);
+    placeAll(new ArrayList<>(queue.online()), 0, decisions, nowNanos);
+    interrupt(queue.online().size(), service, decisions, nowNanos);
+    if (queue.online().isEmpty()) {
+      int reserve = (int) Math.ceil(places.count(service) * rules.batchReserve());
+      placeAll(new ArrayList<>(queue.batch()), reserve, decisions, nowNanos);
+      placeAll(new ArrayList<>(queue.late()), 0, decisions, nowNanos);
     }
     return decisions.build();
   }
@@ -363,21 +335,22 @@
    * Refuses what waited in vain until its objective: the caller can come back in time. A caller
    * that was refused before is kept waiting for a while longer, behind all that can be on time.
    */
-  private void moveLate(Queue queue, ImmutableList.Builder<Decision> decisions, long nowNanos) {
-    for (Demand demand : ImmutableList.copyOf(queue.online)) {
+  private void moveLate(
+      WaitingQueue queue, ImmutableList.Builder<Decision> decisions, long nowNanos) {
+    for (Demand demand : ImmutableList.copyOf(queue.online())) {
       if (nowNanos - demand.objectiveNanos() > 0) {
-        queue.online.remove(demand);
+        queue.online().remove(demand);
         if (demand.repeated()) {
-          queue.late.add(demand);
+          queue.late().add(demand);
         } else {
           refuseWaiting(demand, decisions);
         }
       }
     }
-    for (Demand demand : ImmutableList.copyOf(queue.late)) {
+    for (Demand demand : ImmutableList.copyOf(queue.late())) {
       double patience = (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitPart();
       if (nowNanos - demand.objectiveNanos() > patience) {
-        queue.late.remove(demand);
+        queue.late().remove(demand);
         refuseWaiting(demand, decisions);
       }
     }
@@ -391,10 +364,10 @@
   private void placeAll(
       List<Demand> demands, int reserve, ImmutableList.Builder<Decision> decisions, long nowNanos) {
     for (Demand demand : demands) {
-      if (reserve > 0 && freePlaces(demand.service()) <= reserve) {
+      if (reserve > 0 && places.free(demand.service()) <= reserve) {
         return;
       }
-      Optional<BackendServer> backend = choose(demand, nowNanos);
+      Optional<BackendServer> backend = places.choose(demand, part, nowNanos);
       if (backend.isEmpty()) {
         if (demand.excluded().isEmpty()) {
           return;
@@ -402,7 +375,7 @@
         continue;
       }
       BackendServerId id = backend.get().id();
-      load(id).placed(nowNanos);
+      places.load(id).placed(nowNanos);
       waiting.remove(demand.id());
       queue(demand.service()).remove(demand);
       running.put(demand.id(), new Running(demand, id, nowNanos));
@@ -425,81 +398,8 @@
             });
   }
 
-  private int places(String service) {
-    int places = 0;
-    for (BackendServer backend : fleet.backends()) {
-      if (serves(backend, service)) {
-        places += backend.slots();
-      }
-    }
-    return places;
-  }
-
-  private int freePlaces(String service) {
-    int free = 0;
-    for (BackendServer backend : fleet.backends()) {
-      if (serves(backend, service)) {
-        free += Math.max(0, backend.slots() - load(backend.id()).running());
-      }
-    }
-    return free;
-  }
-
-  private boolean serves(BackendServer backend, String service) {
-    return backend.service().equals(service)
-        && fleet.isUsable(backend)
-        && !load(backend.id()).isGone();
-  }
-
-  private Optional<BackendServer> choose(Demand demand, long nowNanos) {
-    BackendServer best = null;
-    double bestScore = Double.MAX_VALUE;
-    for (BackendServer backend : fleet.backends()) {
-      if (!serves(backend, demand.service()) || demand.excluded().contains(backend.id())) {
-        continue;
-      }
-      BackendLoad load = load(backend.id());
-      if (load.running() >= backend.slots() || isColdAndBusy(backend, load, nowNanos)) {
-        continue;
-      }
-      double score = (double) load.running() / backend.slots() + random.getAsDouble() / 100;
-      if (load.isPenalised(nowNanos)) {
-        // Tried only when no sound server has a place.
-        score += 10;
-      }
-      if (score < bestScore) {
-        bestScore = score;
-        best = backend;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  private boolean isColdAndBusy(BackendServer backend, BackendLoad load, long nowNanos) {
-    if (backend.coldUntilNanos() - nowNanos <= 0) {
-      return false;
-    }
-    double rate =
-        fleet
-            .catalog()
-            .map(catalog -> catalog.services().get(backend.service()))
-            .map(Service::coldRatePerSecond)
-            .orElse(0.0);
-    return rate > 0
-        && load.sentInLastSecond(nowNanos) + 1 > Math.max(1, rate * rules.coldPart() * part);
-  }
-
-  private Queue queue(String service) {
+  private WaitingQueue queue(String service) {
     return queues.computeIfAbsent(
-        service,
-        key -> {
-          Queue queue = new Queue();
-          queue.serviceNanos = rules.firstServiceTime().toNanos();
-          return queue;
-        });
-  }
-
-  private BackendLoad load(BackendServerId id) {
-    return loads.computeIfAbsent(id, key -> new BackendLoad());
+        service, key -> new WaitingQueue(rules.firstServiceTime().toNanos()));
   }
 }
