--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -30,6 +30,7 @@
 import org.trefoilbarrow.transport.forward.BackendExchange;
 import org.trefoilbarrow.transport.forward.EventStream;
 import org.trefoilbarrow.transport.forward.ForwardServices;
+import org.trefoilbarrow.transport.forward.HopHeaders;
 import org.trefoilbarrow.transport.link.PlaceListener;
 import org.trefoilbarrow.transport.link.WorkDemand;
 
@@ -147,15 +148,16 @@
       return;
     }
     HttpHeaders headers =
-        services
-            .dialect()
-            .toBackend(
-                item,
-                ledger.job().hostName(),
-                backend,
-                ledger.job().organisation(),
-                RUN_TIME.toMillis(),
-                lastEvent);
+        HopHeaders.without(
+            services
+                .dialect()
+                .toBackend(
+                    item,
+                    ledger.job().hostName(),
+                    backend,
+                    ledger.job().organisation(),
+                    RUN_TIME.toMillis(),
+                    lastEvent));
     ByteBuf body = Unpooled.wrappedBuffer(Base64.getDecoder().decode(item.body()));
     headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
     FullHttpRequest request =
