--- a/server/src/main/java/org/trefoilbarrow/command/FleetAdapter.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetAdapter.java
@@ -24,5 +24,15 @@
 
     /** Returns the number of calls made so far. */
     long callCount();
+
+    /**
+     * Asks the platform a question that costs little, to see whether it answers.
+     *
+     * @throws org.trefoilbarrow.state.PlatformException if it does not
+     */
+    void probe();
+
+    /** Ends all watches that wait, as if the platform had not answered them. */
+    void abortWatches();
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -53,6 +53,7 @@
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
 import org.trefoilbarrow.transport.metrics.MetricsEndpoint;
 import org.trefoilbarrow.transport.platform.CollectionWatcher;
+import org.trefoilbarrow.transport.platform.PlatformProbe;
 
 /**
  * A host of a fleet on an operators' platform: forwards requests of callers, or dispatches for all
@@ -61,11 +62,14 @@
 public final class FleetHost {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** The longest time of a watch, which bounds how long a silent connection goes unnoticed. */
-  private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
+  /** The longest time of a watch: below the time for which platforms keep their history. */
+  private static final Duration WATCH_WAIT = Duration.ofSeconds(15);
 
-  /** The platform was heard lately if a watch of each kind could have ended since. */
-  private static final Duration FIT_FOR = Duration.ofMillis(3200);
+  /** Results come in bursts; a job's caller reads them about twice a second. */
+  private static final Duration RESULTS_PAUSE = Duration.ofMillis(250);
+
+  /** The platform was heard lately if a probe could have been answered since. */
+  private static final Duration FIT_FOR = Duration.ofMillis(3400);
 
   /** How long a host waits for a dispatching host before it gets connections without one. */
   private static final Duration WAIT_FOR_PEERS = Duration.ofMillis(1500);
@@ -270,7 +274,8 @@
             },
             backends::onChanges,
             backends::onOutage,
-            WATCH_WAIT));
+            WATCH_WAIT,
+            Duration.ZERO));
     watchers.add(watch(ObjectKind.DRAINED_DOMAIN, this::drained, this::undrained));
     watchers.add(watch(ObjectKind.HOST, this::hostListed, this::hostGone));
     if (!settings.servesCallers()) {
@@ -280,18 +285,35 @@
           watch(
               ObjectKind.RESULT,
               object -> table.partCreated(object.name(), object.value()),
-              name -> {}));
+              name -> {},
+              RESULTS_PAUSE));
       watchers.add(watch(ObjectKind.JOB_END, object -> table.jobEnded(object.name()), name -> {}));
       watchers.add(watch(ObjectKind.HOST_REMOVAL, this::removalAsked, name -> {}));
     }
     ImmutableList<CollectionWatcher> all = watchers.build();
     watched = all.size();
     all.forEach(CollectionWatcher::start);
+    new PlatformProbe(
+            platform::probe,
+            () -> log.add("platform", "lost"),
+            () -> {
+              log.add("platform", "regained");
+              platform.abortWatches();
+            })
+        .start();
   }
 
   /** Follows a collection whose objects are taken one by one, on the event loop. */
   private CollectionWatcher watch(
       ObjectKind kind, Consumer<VersionedObject> onPut, Consumer<String> onDelete) {
+    return watch(kind, onPut, onDelete, Duration.ZERO);
+  }
+
+  private CollectionWatcher watch(
+      ObjectKind kind,
+      Consumer<VersionedObject> onPut,
+      Consumer<String> onDelete,
+      Duration pauseAfterChanges) {
     Set<String> known = new HashSet<>();
     BiConsumer<VersionedObject, Boolean> take =
         (object, present) -> {
@@ -317,7 +339,8 @@
                 }),
         batch -> loop.execute(() -> takeChanges(batch, take)),
         () -> {},
-        WATCH_WAIT);
+        WATCH_WAIT,
+        pauseAfterChanges);
   }
 
   private static void takeWhole(
@@ -395,7 +418,19 @@
   }
 
   private void removalAsked(VersionedObject object) {
-    if (!object.name().equals(settings.name()) || leaving) {
+    if (object.name().equals(settings.name())) {
+      leaveForRemoval(object);
+    } else if (!followsAll()) {
+      loop.schedule(() -> removalAsked(object), REGISTER_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
+    } else if (!peers.containsKey(object.name()) && placements.dispatchesHere()) {
+      // No host of this fleet runs on that machine, so that nobody else would answer.
+      log.add("host", "removal of another machine", "machine", object.name());
+      executor.execute(() -> confirmRemoval(object));
+    }
+  }
+
+  private void leaveForRemoval(VersionedObject object) {
+    if (leaving) {
       return;
     }
     leaving = true;
@@ -407,9 +442,9 @@
   /** All that lasts lies at the platform, so a host is empty once others know that it leaves. */
   private void confirmRemoval(VersionedObject object) {
     try {
-      Optional<VersionedObject> listed = platform.read(ObjectKind.HOST, settings.name());
+      Optional<VersionedObject> listed = platform.read(ObjectKind.HOST, object.name());
       if (listed.isPresent()) {
-        platform.delete(ObjectKind.HOST, settings.name(), listed.get().version());
+        platform.delete(ObjectKind.HOST, object.name(), listed.get().version());
       }
       Optional<VersionedObject> asked = platform.read(ObjectKind.HOST_REMOVAL, object.name());
       if (asked.isPresent()) {
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
@@ -198,6 +198,11 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /** Returns whether this host dispatches, for all hosts or for itself. */
+  public boolean dispatchesHere() {
+    return chosen && current.isEmpty();
+  }
+
   /** Sends a message to a host; it is lost if the link is. */
   public void send(HostId host, LinkMessage message) {
     Link link = links.get(host);
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
@@ -32,6 +32,7 @@
   private final Consumer<ChangeBatch> onChanges;
   private final Runnable onOutage;
   private final Duration watchWait;
+  private final Duration pauseAfterChanges;
   private final CountDownLatch firstRead = new CountDownLatch(1);
   private final Thread thread;
   private volatile boolean closed;
@@ -49,14 +50,15 @@
       Consumer<ObjectPage> onWhole,
       Consumer<ChangeBatch> onChanges,
       Runnable onOutage) {
-    this(platform, kind, onWhole, onChanges, onOutage, DEFAULT_WATCH_WAIT);
+    this(platform, kind, onWhole, onChanges, onOutage, DEFAULT_WATCH_WAIT, Duration.ZERO);
   }
 
   /**
    * Creates a watcher whose watches wait for the given time; {@link #start} begins its work.
    *
-   * @param watchWait the longest time of one watch, which bounds how long a silent connection goes
-   *     unnoticed
+   * @param watchWait the longest time of one watch
+   * @param pauseAfterChanges how long after changes the next watch begins: changes that come close
+   *     together are then one call
    */
   public CollectionWatcher(
       Platform platform,
@@ -64,13 +66,15 @@
       Consumer<ObjectPage> onWhole,
       Consumer<ChangeBatch> onChanges,
       Runnable onOutage,
-      Duration watchWait) {
+      Duration watchWait,
+      Duration pauseAfterChanges) {
     this.platform = checkNotNull(platform, "platform");
     this.kind = checkNotNull(kind, "kind");
     this.onWhole = checkNotNull(onWhole, "onWhole");
     this.onChanges = checkNotNull(onChanges, "onChanges");
     this.onOutage = checkNotNull(onOutage, "onOutage");
     this.watchWait = checkNotNull(watchWait, "watchWait");
+    this.pauseAfterChanges = checkNotNull(pauseAfterChanges, "pauseAfterChanges");
     this.thread = new Thread(this::run, "watch-" + kind.collection());
     this.thread.setDaemon(true);
   }
@@ -123,18 +127,25 @@
       return -1;
     }
     onChanges.accept(batch.get());
+    if (!batch.get().changes().isEmpty()) {
+      pause(pauseAfterChanges);
+    }
     return Math.max(revision, batch.get().revision());
   }
 
   private Duration pauseAfterOutage(Duration backoff) {
     onOutage.run();
+    pause(backoff);
+    Duration doubled = backoff.multipliedBy(2);
+    return doubled.compareTo(MAX_BACKOFF) < 0 ? doubled : MAX_BACKOFF;
+  }
+
+  private static void pause(Duration time) {
     try {
-      Thread.sleep(backoff.toMillis());
+      Thread.sleep(time.toMillis());
     } catch (InterruptedException e) {
       // close() interrupts; the loop then ends.
       Thread.currentThread().interrupt();
     }
-    Duration doubled = backoff.multipliedBy(2);
-    return doubled.compareTo(MAX_BACKOFF) < 0 ? doubled : MAX_BACKOFF;
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformCalls.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformCalls.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.apache.hc.client5.http.ConnectTimeoutException;
@@ -27,6 +29,7 @@
   private final LongSupplier nanoClock;
   private final AtomicLong lastAnswerNanos;
   private final AtomicLong count = new AtomicLong();
+  private final Set<HttpUriRequestBase> waiting = ConcurrentHashMap.newKeySet();
 
   /** Turns an answer into a value. */
   @FunctionalInterface
@@ -60,6 +63,25 @@
     return count.get();
   }
 
+  /**
+   * Makes a call whose answer comes when there is news, unless {@link #abortWaiting} ends it.
+   *
+   * @throws PlatformException if there is no answer, or the reader finds none
+   */
+  public <T> T await(HttpUriRequestBase request, Duration answerTimeout, Reader<T> reader) {
+    waiting.add(request);
+    try {
+      return call(request, answerTimeout, reader);
+    } finally {
+      waiting.remove(request);
+    }
+  }
+
+  /** Ends all calls that wait for news, as if the platform had not answered them. */
+  public void abortWaiting() {
+    waiting.forEach(HttpUriRequestBase::abort);
+  }
+
   /**
    * Makes a call and waits for its answer.
    *
--- /dev/null
+++ b/server/src/test/java/org/trefoilbarrow/transport/platform/PlatformProbeTest.java
@@ -0,0 +1,43 @@
+package org.trefoilbarrow.transport.platform;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.trefoilbarrow.state.PlatformException;
+
+public final class PlatformProbeTest {
+
+  @DataProvider
+  public Object[][] answers() {
+    return new Object[][] {
+      {List.of(true, true), List.of()},
+      {List.of(true, false, false), List.of("lost")},
+      {List.of(false, true, true), List.of("lost", "regained")},
+      {List.of(false, true, false, true), List.of("lost", "regained", "lost", "regained")}
+    };
+  }
+
+  @Test(dataProvider = "answers")
+  public void eachLossAndEachReturnIsToldOnce(List<Boolean> answers, List<String> told) {
+    AtomicBoolean answering = new AtomicBoolean();
+    List<String> heard = new ArrayList<>();
+    PlatformProbe probe =
+        new PlatformProbe(
+            () -> {
+              if (!answering.get()) {
+                throw new PlatformException("no answer", null, false);
+              }
+            },
+            () -> heard.add("lost"),
+            () -> heard.add("regained"));
+    for (boolean answer : answers) {
+      answering.set(answer);
+      probe.ask();
+    }
+    assertEquals(heard, told);
+  }
+}
