Take silent hosts for lost, and run batch only where its places are counted

The host that is cut off took all jobs for its own and placed their items by its own count, though callers' hosts took their places elsewhere. By reading: a caller's host that is cut off silently kept its places taken at the dispatching host until it came back.

Change: a pulse says whether the sender takes its places from the host that it asks, and the answer whether hosts with callers do; items are begun only where that is so. The server side of links takes a client that is silent for 0.5 s for lost (DispatchServer, cut out of Placements). Links pulse every 150 ms instead of 250 and are dead after 500 ms instead of 800.

Tests: PlacementsTest.onlyHostsWhosePlacesAreCountedWithThoseOfCallersBeginWorkThatCanWait and placesOfAHostThatFellSilentAreFree; the second seen failing without the change.

--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -137,7 +137,7 @@
     if (draining || ledger.isOver() || !followsJobs.getAsBoolean() || isBeginning()) {
       return;
     }
-    if (!isOwner(ledger.job())) {
+    if (!isOwner(ledger.job()) || !services.placements().sharesPlaces()) {
       dropWaiting(ledger);
       return;
     }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
@@ -29,15 +29,16 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
   private static final Duration RECONNECT_AFTER = Duration.ofMillis(250);
-  private static final Duration PULSE_EVERY = Duration.ofMillis(250);
+  private static final Duration PULSE_EVERY = Duration.ofMillis(150);
 
-  /** How long a link may stay silent: some pulses, and a pause of the peer's collector. */
-  private static final Duration SILENCE = Duration.ofMillis(800);
+  /** How long a link may stay silent: three pulses, so that one late one is borne. */
+  static final Duration SILENCE = Duration.ofMillis(500);
 
   private final EventLoop loop;
   private final PeerAddress peer;
   private final HelloMessage hello;
   private final BooleanSupplier fit;
+  private final BooleanSupplier takesPlaces;
   private final LongSupplier nanoClock;
   private final Runnable onChange;
   private final Consumer<LinkMessage> onMessage;
@@ -46,6 +47,7 @@
   private long pulseNumber;
   private boolean live;
   private boolean peerFit;
+  private boolean peerChosen;
   private boolean closed;
 
   Link(
@@ -53,6 +55,7 @@
       PeerAddress peer,
       HelloMessage hello,
       BooleanSupplier fit,
+      BooleanSupplier takesPlaces,
       LongSupplier nanoClock,
       Runnable onChange,
       Consumer<LinkMessage> onMessage) {
@@ -60,6 +63,7 @@
     this.peer = checkNotNull(peer, "peer");
     this.hello = checkNotNull(hello, "hello");
     this.fit = checkNotNull(fit, "fit");
+    this.takesPlaces = checkNotNull(takesPlaces, "takesPlaces");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.onChange = checkNotNull(onChange, "onChange");
     this.onMessage = checkNotNull(onMessage, "onMessage");
@@ -80,6 +84,11 @@
     return live && peerFit;
   }
 
+  /** Returns whether hosts that serve callers take their places from the peer. */
+  boolean isChosen() {
+    return live && peerChosen;
+  }
+
   void send(LinkMessage message) {
     if (channel != null && channel.isActive()) {
       channel.writeAndFlush(message, channel.voidPromise());
@@ -131,7 +140,9 @@
       drop("silent");
       return;
     }
-    send(LinkMessage.pulse(new PulseMessage(pulseNumber++, false, fit.getAsBoolean())));
+    PulseMessage question = new PulseMessage(pulseNumber++, false, fit.getAsBoolean());
+    question.setTakesPlaces(takesPlaces.getAsBoolean());
+    send(LinkMessage.pulse(question));
     loop.schedule(() -> pulse(current), PULSE_EVERY.toMillis(), TimeUnit.MILLISECONDS);
   }
 
@@ -177,6 +188,7 @@
       }
       live = true;
       peerFit = pulse.isFit();
+      peerChosen = pulse.isTakesPlaces();
       if (changed) {
         onChange.run();
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Placements.java
@@ -3,15 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.flogger.FluentLogger;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -34,7 +26,6 @@
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
-import org.trefoilbarrow.protocol.OrganisationId;
 import org.trefoilbarrow.state.fleet.BackendServer;
 import org.trefoilbarrow.state.fleet.FleetView;
 import org.trefoilbarrow.transport.forward.EventLog;
@@ -42,10 +33,7 @@
 import org.trefoilbarrow.transport.link.generated.FinishedMessage;
 import org.trefoilbarrow.transport.link.generated.HelloMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
-import org.trefoilbarrow.transport.link.generated.PlacedMessage;
-import org.trefoilbarrow.transport.link.generated.PulseMessage;
 import org.trefoilbarrow.transport.link.generated.RefusedMessage;
-import org.trefoilbarrow.transport.link.generated.RevokedMessage;
 
 /**
  * Gets places for the work of this host from the host that dispatches for all.
@@ -56,10 +44,8 @@
  * runs is reported. Used by the thread of the event loop alone.
  */
 public final class Placements {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration REPORT = Duration.ofSeconds(1);
-  private static final Duration BIND_AGAIN = Duration.ofMillis(300);
   private static final long NANOS_IN_MILLI = 1_000_000;
 
   private final EventLoop loop;
@@ -71,7 +57,7 @@
   private final EventLog log;
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final Map<HostId, Link> links = new LinkedHashMap<>();
-  private final Map<HostId, Channel> clients = new HashMap<>();
+  private final DispatchServer server;
   private final Set<HostId> callerHosts = new HashSet<>();
   private final List<Runnable> onPeersChanged = new ArrayList<>();
   private PeerMessages peerMessages = PeerMessages.NONE;
@@ -122,23 +108,27 @@
     this.fit = checkNotNull(fit, "fit");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.log = checkNotNull(log, "log");
+    this.server =
+        new DispatchServer(loop, self, dispatcher, fit, nanoClock, this::apply, this::setPart);
   }
 
   /** Begins to work; a host that does not serve callers accepts links. */
   public void start() {
     if (!self.servesCallers()) {
-      listen();
+      server.listen();
     }
-    loop.scheduleAtFixedRate(
-        () -> apply(dispatcher.tick(nanoClock.getAsLong())),
-        TICK.toMillis(),
-        TICK.toMillis(),
-        TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
         this::logState, REPORT.toMillis(), REPORT.toMillis(), TimeUnit.MILLISECONDS);
     choose();
   }
 
+  private void tick() {
+    long now = nanoClock.getAsLong();
+    server.closeSilent(now);
+    apply(dispatcher.tick(now));
+  }
+
   private void logState() {
     if (dispatcher.waitingCount() + dispatcher.runningCount() > 0) {
       log.add(
@@ -149,7 +139,7 @@
           "running",
           dispatcher.runningCount(),
           "hosts",
-          clients.size(),
+          server.clientCount(),
           "detail",
           dispatcher.describe());
     }
@@ -158,6 +148,7 @@
   /** Sets who takes the messages that do not concern places. */
   public void setPeerMessages(PeerMessages messages) {
     this.peerMessages = checkNotNull(messages, "messages");
+    server.setPeerMessages(messages);
   }
 
   /** Runs a task whenever the hosts that answer have changed. */
@@ -198,6 +189,18 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /**
+   * Returns whether places of this host are counted together with those of the hosts that serve
+   * callers. Work that can wait must not be begun otherwise: it would stand before their requests.
+   */
+  public boolean sharesPlaces() {
+    if (current.isEmpty()) {
+      return server.isChosen();
+    }
+    Link link = links.get(current.get());
+    return link != null && link.isChosen();
+  }
+
   /** Returns whether this host dispatches, for all hosts or for itself. */
   public boolean dispatchesHere() {
     return chosen && current.isEmpty();
@@ -239,7 +242,14 @@
 
   private Link connect(PeerAddress peer) {
     return new Link(
-        loop, peer, hello(), fit, nanoClock, this::choose, message -> heard(peer.host(), message));
+        loop,
+        peer,
+        hello(),
+        fit,
+        () -> current.filter(peer.host()::equals).isPresent(),
+        nanoClock,
+        this::choose,
+        message -> heard(peer.host(), message));
   }
 
   private HelloMessage hello() {
@@ -306,7 +316,7 @@
     if (self.servesCallers()) {
       part = 1.0 / all;
     } else {
-      long connected = clients.keySet().stream().filter(callerHosts::contains).count();
+      long connected = server.countOf(callerHosts);
       part = Math.max(1, Math.min(all, connected)) / (double) all;
     }
     dispatcher.setPart(part);
@@ -425,10 +435,7 @@
       if (id.host().equals(self.host())) {
         applyHere(decision);
       } else {
-        Channel channel = clients.get(id.host());
-        if (channel != null) {
-          channel.writeAndFlush(toMessage(decision), channel.voidPromise());
-        }
+        server.send(decision);
       }
     }
   }
@@ -450,116 +457,4 @@
           }
         });
   }
-
-  private static LinkMessage toMessage(Decision decision) {
-    long call = decision.demand().call();
-    if (decision instanceof Decision.Placed placed) {
-      return LinkMessage.placed(new PlacedMessage(call, placed.backend().value()));
-    }
-    if (decision instanceof Decision.Refused refused) {
-      return LinkMessage.refused(
-          new RefusedMessage(call, refused.reason().ordinal(), refused.retryAfterMillis()));
-    }
-    return LinkMessage.revoked(new RevokedMessage(call));
-  }
-
-  private void listen() {
-    new ServerBootstrap()
-        .group(loop)
-        .channel(NioServerSocketChannel.class)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(
-            new ChannelInitializer<Channel>() {
-              @Override
-              protected void initChannel(Channel created) throws Exception {
-                LinkPipeline.install(created.pipeline(), new ClientHandler());
-              }
-            })
-        .bind(self.address(), self.port())
-        .addListener(
-            done -> {
-              if (!done.isSuccess()) {
-                logger.atSevere().withCause(done.cause()).log("link: cannot listen");
-                loop.schedule(this::listen, BIND_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
-              }
-            });
-  }
-
-  /** Serves one host that asks for places. */
-  private final class ClientHandler extends SimpleChannelInboundHandler<LinkMessage> {
-    private Optional<HostId> client = Optional.empty();
-
-    @Override
-    protected void channelRead0(ChannelHandlerContext context, LinkMessage message) {
-      if (message.isSetPulse()) {
-        PulseMessage answer =
-            new PulseMessage(message.getPulse().getNumber(), true, fit.getAsBoolean());
-        context.writeAndFlush(LinkMessage.pulse(answer));
-      } else if (message.isSetHello()) {
-        HostId host = HostId.of(message.getHello().getHost());
-        client = Optional.of(host);
-        clients.put(host, context.channel());
-        dispatcher.hostRestarted(host);
-        setPart();
-      } else if (client.isPresent()) {
-        serve(client.get(), message, context);
-      }
-    }
-
-    private void serve(HostId host, LinkMessage message, ChannelHandlerContext context) {
-      long now = nanoClock.getAsLong();
-      if (message.isSetDemand()) {
-        demanded(host, message.getDemand(), now);
-      } else if (message.isSetFinished()) {
-        FinishedMessage finished = message.getFinished();
-        apply(
-            dispatcher.finished(
-                new DemandId(host, finished.getCall()),
-                PlaceResult.values()[finished.getResult()],
-                now));
-      } else {
-        peerMessages.received(host, message, context::writeAndFlush);
-      }
-    }
-
-    private void demanded(HostId host, DemandMessage message, long now) {
-      DemandId id = new DemandId(host, message.getCall());
-      Set<BackendServerId> excluded = new HashSet<>();
-      if (message.isSetExcluded()) {
-        message.getExcluded().forEach(backend -> excluded.add(BackendServerId.of(backend)));
-      }
-      Demand demand =
-          new Demand(
-              id,
-              message.getTarget(),
-              message.isSetOrganisation()
-                  ? Optional.of(OrganisationId.of(message.getOrganisation()))
-                  : Optional.empty(),
-              message.getPriority(),
-              message.isBatch(),
-              now + message.getObjectiveMillis() * NANOS_IN_MILLI,
-              now + message.getRemainingMillis() * NANOS_IN_MILLI,
-              message.isRepeated(),
-              excluded);
-      if (message.isSetRunningOn()) {
-        dispatcher.adopt(demand, BackendServerId.of(message.getRunningOn()), now);
-      } else {
-        apply(dispatcher.submit(demand, now));
-      }
-    }
-
-    @Override
-    public void channelInactive(ChannelHandlerContext context) {
-      if (client.isPresent() && clients.remove(client.get(), context.channel())) {
-        dispatcher.hostLost(client.get(), nanoClock.getAsLong());
-        setPart();
-      }
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      logger.atFine().withCause(cause).log("link: a client failed");
-      context.close();
-    }
-  }
 }
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -80,6 +80,11 @@
   2: required bool answer
   /** Whether the sender follows the platform at present. */
   3: required bool fit
+  /**
+   * In a question: whether the sender takes its places from the host that it asks. In an answer:
+   * whether hosts that serve callers take theirs from the sender.
+   */
+  4: optional bool takesPlaces
 }
 
 /** One frame. */
--- a/server/src/test/java/org/trefoilbarrow/transport/link/PlacementsTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/PlacementsTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -19,10 +20,12 @@
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
@@ -41,12 +44,16 @@
   private static final long PATIENCE_SECONDS = 20;
   private static final int SLOTS = 2;
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+  private EventLoopGroup group;
+
+  @BeforeMethod
+  public void begin() {
+    group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+  }
 
   /** One host of the test. */
   private final class Host {
-    final EventLoop loop = group.next();
+    final EventLoop loop;
     final FleetView fleet = new FleetView();
     final AtomicBoolean fit = new AtomicBoolean(true);
     final Dispatcher dispatcher = new Dispatcher(fleet, DispatchRules.DEFAULT, () -> 0.5);
@@ -54,6 +61,11 @@
     final Placements placements;
 
     Host(String name, boolean servesCallers) throws IOException {
+      this(name, servesCallers, group.next());
+    }
+
+    Host(String name, boolean servesCallers, EventLoop loop) throws IOException {
+      this.loop = loop;
       self = new PeerAddress(HostId.of(name), "127.0.0.1", freePort(), servesCallers, 1);
       PrintStream sink = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
       placements =
@@ -186,4 +198,48 @@
         "the first host knows what runs", () -> first.on(first.dispatcher::runningCount) == SLOTS);
     assertTrue(heard.isEmpty(), "heard " + heard);
   }
+
+  @Test
+  public void onlyHostsWhosePlacesAreCountedWithThoseOfCallersBeginWorkThatCanWait()
+      throws Exception {
+    Host first = new Host("a-jobs", false);
+    Host second = new Host("b-jobs", false);
+    Host callers = new Host("callers", true);
+    know(List.of(first, second, callers));
+    Eventually.that("the first host is chosen", () -> first.on(first.placements::sharesPlaces));
+    Eventually.that(
+        "the second host takes its places there", () -> second.on(second.placements::sharesPlaces));
+
+    // The second host loses sight of the first, which callers still use.
+    second.on(
+        () -> {
+          second.placements.setPeers(ImmutableList.of(second.self, callers.self));
+          return true;
+        });
+    Eventually.that(
+        "the second host begins nothing", () -> !second.on(second.placements::sharesPlaces));
+    assertTrue(first.on(first.placements::sharesPlaces));
+  }
+
+  @Test
+  public void placesOfAHostThatFellSilentAreFree() throws Exception {
+    Host first = new Host("a-jobs", false);
+    EventLoopGroup frozen = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    Host callers = new Host("callers", true, frozen.next());
+    know(List.of(first, callers));
+    Eventually.that("the first host is chosen", () -> first.on(first.placements::sharesPlaces));
+    BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    callers.ask(heard, "c0");
+    assertEquals(heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS), "c0 placed");
+
+    // The host stands still with its connection open.
+    CountDownLatch wake = new CountDownLatch(1);
+    callers.loop.execute(() -> Uninterruptibles.awaitUninterruptibly(wake));
+    try {
+      Eventually.that("its place is free", () -> first.on(first.dispatcher::runningCount) == 0);
+    } finally {
+      wake.countDown();
+      frozen.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
 }
