--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -22,8 +22,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
@@ -31,11 +29,7 @@
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.settings.FleetHostSettings;
-import org.trefoilbarrow.state.ChangeBatch;
-import org.trefoilbarrow.state.ObjectChange;
 import org.trefoilbarrow.state.ObjectKind;
-import org.trefoilbarrow.state.ObjectPage;
-import org.trefoilbarrow.state.PlatformException;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.FleetView;
@@ -65,6 +59,12 @@
   /** The longest time of a watch: below the time for which platforms keep their history. */
   private static final Duration WATCH_WAIT = Duration.ofSeconds(15);
 
+  /** Many backend servers start together; short against the time in which a leaving one is left. */
+  private static final Duration BACKENDS_PAUSE = Duration.ofMillis(250);
+
+  /** All hosts start together, and each hears of each. */
+  private static final Duration HOSTS_PAUSE = Duration.ofSeconds(1);
+
   /** Results come in bursts; a job's caller reads them about twice a second. */
   private static final Duration RESULTS_PAUSE = Duration.ofMillis(250);
 
@@ -74,7 +74,9 @@
   /** How long a host waits for a dispatching host before it gets connections without one. */
   private static final Duration WAIT_FOR_PEERS = Duration.ofMillis(1500);
 
-  private static final Duration REGISTER_AGAIN = Duration.ofMillis(300);
+  /** How long a question that concerns the fleet waits for the first reading of it. */
+  private static final Duration ASK_AGAIN = Duration.ofMillis(300);
+
   private static final Duration READY_EVERY = Duration.ofMillis(50);
 
   /** How long new connections still come after a host said that it is not ready. */
@@ -105,6 +107,7 @@
   private final Placements placements;
   private final JobObjects objects;
   private final JobTable table;
+  private final HostRegistration registration;
   private final ForwardServices services;
   private final long startNanos;
   private Optional<Ingress> ingress = Optional.empty();
@@ -140,6 +143,9 @@
         new Dispatcher(
             fleet, DispatchRules.DEFAULT, () -> ThreadLocalRandom.current().nextDouble());
     this.placements = new Placements(loop, self, fleet, dispatcher, this::isFit, nanoClock, log);
+    this.registration =
+        new HostRegistration(
+            platform, self, adapter.decoder().emptied(), loop, executor, () -> leaving, log);
     this.objects = new JobObjects(platform);
     this.table = new JobTable(loop, objects, executor, !settings.servesCallers());
     this.services =
@@ -160,7 +166,7 @@
     log.add("host", "start", "host", self.host(), "servesCallers", self.servesCallers());
     loop.submit(this::startOnLoop).syncUninterruptibly();
     followFleet();
-    executor.execute(this::register);
+    registration.register();
     if (settings.servesCallers()) {
       loop.scheduleAtFixedRate(
           this::judgeReadiness,
@@ -263,7 +269,8 @@
     BackendFeed backends =
         new BackendFeed(loop, fleet, adapter.decoder(), log, nanoClock, placements::fleetChanged);
     ImmutableList.Builder<CollectionWatcher> watchers = ImmutableList.builder();
-    watchers.add(watch(ObjectKind.CONFIGURATION, this::configured, name -> {}));
+    ObjectFeeds feeds = new ObjectFeeds(platform, loop, WATCH_WAIT, firstReads::incrementAndGet);
+    watchers.add(feeds.of(ObjectKind.CONFIGURATION, this::configured, name -> {}));
     watchers.add(
         new CollectionWatcher(
             platform,
@@ -275,20 +282,21 @@
             backends::onChanges,
             backends::onOutage,
             WATCH_WAIT,
-            Duration.ZERO));
-    watchers.add(watch(ObjectKind.DRAINED_DOMAIN, this::drained, this::undrained));
-    watchers.add(watch(ObjectKind.HOST, this::hostListed, this::hostGone));
+            BACKENDS_PAUSE));
+    watchers.add(feeds.of(ObjectKind.DRAINED_DOMAIN, this::drained, this::undrained));
+    watchers.add(feeds.of(ObjectKind.HOST, this::hostListed, this::hostGone, HOSTS_PAUSE));
     if (!settings.servesCallers()) {
       watchers.add(
-          watch(ObjectKind.JOB, object -> table.jobCreated(object.value()), table::jobRemoved));
+          feeds.of(ObjectKind.JOB, object -> table.jobCreated(object.value()), table::jobRemoved));
       watchers.add(
-          watch(
+          feeds.of(
               ObjectKind.RESULT,
               object -> table.partCreated(object.name(), object.value()),
               name -> {},
               RESULTS_PAUSE));
-      watchers.add(watch(ObjectKind.JOB_END, object -> table.jobEnded(object.name()), name -> {}));
-      watchers.add(watch(ObjectKind.HOST_REMOVAL, this::removalAsked, name -> {}));
+      watchers.add(
+          feeds.of(ObjectKind.JOB_END, object -> table.jobEnded(object.name()), name -> {}));
+      watchers.add(feeds.of(ObjectKind.HOST_REMOVAL, this::removalAsked, name -> {}));
     }
     ImmutableList<CollectionWatcher> all = watchers.build();
     watched = all.size();
@@ -303,64 +311,6 @@
         .start();
   }
 
-  /** Follows a collection whose objects are taken one by one, on the event loop. */
-  private CollectionWatcher watch(
-      ObjectKind kind, Consumer<VersionedObject> onPut, Consumer<String> onDelete) {
-    return watch(kind, onPut, onDelete, Duration.ZERO);
-  }
-
-  private CollectionWatcher watch(
-      ObjectKind kind,
-      Consumer<VersionedObject> onPut,
-      Consumer<String> onDelete,
-      Duration pauseAfterChanges) {
-    Set<String> known = new HashSet<>();
-    BiConsumer<VersionedObject, Boolean> take =
-        (object, present) -> {
-          if (present) {
-            known.add(object.name());
-            onPut.accept(object);
-          } else if (known.remove(object.name())) {
-            onDelete.accept(object.name());
-          }
-        };
-    boolean[] read = new boolean[1];
-    return new CollectionWatcher(
-        platform,
-        kind,
-        page ->
-            loop.execute(
-                () -> {
-                  takeWhole(page, known, take);
-                  if (!read[0]) {
-                    read[0] = true;
-                    firstReads.incrementAndGet();
-                  }
-                }),
-        batch -> loop.execute(() -> takeChanges(batch, take)),
-        () -> {},
-        WATCH_WAIT,
-        pauseAfterChanges);
-  }
-
-  private static void takeWhole(
-      ObjectPage page, Set<String> known, BiConsumer<VersionedObject, Boolean> take) {
-    Set<String> gone = new HashSet<>(known);
-    for (VersionedObject object : page.objects()) {
-      gone.remove(object.name());
-      take.accept(object, true);
-    }
-    gone.forEach(name -> take.accept(new VersionedObject(name, page.revision(), ""), false));
-  }
-
-  private static void takeChanges(ChangeBatch batch, BiConsumer<VersionedObject, Boolean> take) {
-    for (ObjectChange change : batch.changes()) {
-      take.accept(
-          new VersionedObject(change.name(), change.version(), change.value().orElse("")),
-          change.value().isPresent());
-    }
-  }
-
   private void configured(VersionedObject object) {
     Optional<Catalog> catalog;
     try {
@@ -419,68 +369,24 @@
 
   private void removalAsked(VersionedObject object) {
     if (object.name().equals(settings.name())) {
-      leaveForRemoval(object);
+      leaveForRemoval();
     } else if (!followsAll()) {
-      loop.schedule(() -> removalAsked(object), REGISTER_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
+      loop.schedule(() -> removalAsked(object), ASK_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
     } else if (!peers.containsKey(object.name()) && placements.dispatchesHere()) {
       // No host of this fleet runs on that machine, so that nobody else would answer.
       log.add("host", "removal of another machine", "machine", object.name());
-      executor.execute(() -> confirmRemoval(object));
+      registration.confirmRemoval(HostId.of(object.name()));
     }
   }
 
-  private void leaveForRemoval(VersionedObject object) {
+  private void leaveForRemoval() {
     if (leaving) {
       return;
     }
     leaving = true;
     log.add("host", "removal asked", "host", self.host());
     runner.ifPresent(JobRunner::stop);
-    executor.execute(() -> confirmRemoval(object));
-  }
-
-  /** All that lasts lies at the platform, so a host is empty once others know that it leaves. */
-  private void confirmRemoval(VersionedObject object) {
-    try {
-      Optional<VersionedObject> listed = platform.read(ObjectKind.HOST, object.name());
-      if (listed.isPresent()) {
-        platform.delete(ObjectKind.HOST, object.name(), listed.get().version());
-      }
-      Optional<VersionedObject> asked = platform.read(ObjectKind.HOST_REMOVAL, object.name());
-      if (asked.isPresent()) {
-        platform.write(
-            ObjectKind.HOST_REMOVAL,
-            object.name(),
-            asked.get().version(),
-            adapter.decoder().emptied());
-      }
-    } catch (PlatformException e) {
-      logger.atInfo().log("host: the removal is not confirmed yet: %s", e.getMessage());
-      loop.schedule(
-          () -> executor.execute(() -> confirmRemoval(object)),
-          REGISTER_AGAIN.toMillis(),
-          TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void register() {
-    if (leaving) {
-      return;
-    }
-    try {
-      Optional<VersionedObject> known = platform.read(ObjectKind.HOST, settings.name());
-      long version = known.map(VersionedObject::version).orElse(0L);
-      if (platform
-          .write(ObjectKind.HOST, settings.name(), version, JsonCodec.encode(self))
-          .isPresent()) {
-        log.add("host", "registered", "host", self.host());
-        return;
-      }
-    } catch (PlatformException e) {
-      logger.atFine().log("host: not registered yet: %s", e.getMessage());
-    }
-    loop.schedule(
-        () -> executor.execute(this::register), REGISTER_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
+    registration.confirmRemoval(self.host());
   }
 
   private static ExecutorService daemons(int threads) {
