--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -317,7 +317,7 @@
       catalog = adapter.decoder().catalog(object.name(), object.value());
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("host: a configuration cannot be read");
-      log.add("config", "unreadable", "revision", object.version());
+      log.add("config", "unreadable", "revision", object.version(), "reason", e.getMessage());
       return;
     }
     if (catalog.isPresent() && fleet.apply(catalog.get(), object.version())) {
