--- a/server/src/main/java/org/trefoilbarrow/transport/forward/EventLog.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/EventLog.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -21,6 +22,7 @@
 
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(BUFFERED_LINES);
   private final AtomicLong dropped = new AtomicLong();
+  private final AtomicLong unwritten = new AtomicLong();
   private final PrintStream output;
   private final LongSupplier milliClock;
 
@@ -45,11 +47,24 @@
    * @param fields names and values in turn
    */
   public void add(String part, String event, Object... fields) {
+    unwritten.incrementAndGet();
     if (!lines.offer(encode(part, event, fields))) {
+      unwritten.decrementAndGet();
       dropped.incrementAndGet();
     }
   }
 
+  /**
+   * Waits until all lines are written, for a process that is about to end.
+   *
+   * @param limit the longest wait; what is not written by then is lost
+   */
+  public void flush(Duration limit) throws InterruptedException {
+    for (long waited = 0; waited < limit.toMillis() && unwritten.get() > 0; waited++) {
+      Thread.sleep(1);
+    }
+  }
+
   /** Returns the number of lines that were dropped. */
   public long droppedCount() {
     return dropped.get();
@@ -85,8 +100,10 @@
     try {
       while (true) {
         StringBuilder batch = new StringBuilder(lines.take()).append('\n');
+        int count = 1;
         for (String next = lines.poll(); next != null; next = lines.poll()) {
           batch.append(next).append('\n');
+          count++;
         }
         long missing = dropped.get();
         if (missing != told) {
@@ -95,6 +112,7 @@
         }
         output.append(batch);
         output.flush();
+        unwritten.addAndGet(-count);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
