Run the test classes of the server beside each other

The hosts of a test process have loopback addresses of their own, derived from its process id, so that two processes share no port. All tests and checks are kept.

--- a/server/src/test/java/org/trefoilbarrow/command/GrantFaultsTest.java
+++ b/server/src/test/java/org/trefoilbarrow/command/GrantFaultsTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.trefoilbarrow.fleet.ApiClient;
@@ -35,23 +34,17 @@
   private static final String SHORT_LEASE_SETTINGS =
       "\"shares\": {\"leaseMillis\": 8000, \"claimWaitMillis\": 2600},";
 
-  private Fleet fleet;
-
-  @AfterMethod(alwaysRun = true)
-  public void stopFleet() {
-    fleet.close();
-  }
-
-  private void startFleet(String settings, int hosts) {
-    fleet =
+  private static Fleet startFleet(String settings, int hosts) {
+    Fleet fleet =
         Fleet.start(
             settings + Fleet.SHORT_WARM_UP_SETTINGS,
             hosts,
             EngineProfile.echo(ImmutableList.of("echo")));
     fleet.configure(OrganisationSpec.of(RATE, BURST), 64, 64);
+    return fleet;
   }
 
-  private GrantLoad startLoad() {
+  private static GrantLoad startLoad(Fleet fleet) {
     List<Supplier<ApiClient>> callers = new ArrayList<>();
     for (int i = 0; i < CALLERS; i++) {
       int host = i % fleet.hosts().size();
@@ -131,7 +124,7 @@
     pauseSeconds(5);
   }
 
-  @DataProvider
+  @DataProvider(parallel = true)
   public Object[][] faults() {
     return new Object[][] {
       {
@@ -147,15 +140,16 @@
 
   @Test(dataProvider = "faults")
   public void grantHoldsOverAllHosts(int hosts, String fault, Consumer<Fleet> injectFault) {
-    startFleet(SHORT_LEASE_SETTINGS, hosts);
-    GrantLoad load = startLoad();
-    pauseSeconds(3);
-    injectFault.accept(fleet);
-    int admittedBefore = load.admitted();
-    Eventually.that("requests are admitted again", () -> load.admitted() > admittedBefore + RATE);
-    load.close();
-    double excess = load.excess(RATE, BURST, 0);
-    assertTrue(excess <= 0, fault + ": " + excess + " over the grant, " + load.refusals());
+    try (Fleet fleet = startFleet(SHORT_LEASE_SETTINGS, hosts);
+        GrantLoad load = startLoad(fleet)) {
+      pauseSeconds(3);
+      injectFault.accept(fleet);
+      int admittedBefore = load.admitted();
+      Eventually.that("requests are admitted again", () -> load.admitted() > admittedBefore + RATE);
+      load.close();
+      double excess = load.excess(RATE, BURST, 0);
+      assertTrue(excess <= 0, fault + ": " + excess + " over the grant, " + load.refusals());
+    }
   }
 
   /**
@@ -164,48 +158,50 @@
    */
   @Test
   public void countAtCallersDetectsHostsThatDoNotShareTheGrant() {
-    startFleet("\"shares\": {\"staticHosts\": 1},", 3);
-    GrantLoad load = startLoad();
-    Eventually.that("excess is measured", () -> load.excess(RATE, BURST, 0) > 0);
-    load.close();
+    try (Fleet fleet = startFleet("\"shares\": {\"staticHosts\": 1},", 3);
+        GrantLoad load = startLoad(fleet)) {
+      Eventually.that("excess is measured", () -> load.excess(RATE, BURST, 0) > 0);
+    }
   }
 
   @Test
   public void loweredGrantIsInForceWithinFiveSecondsAndNeverReverts() {
-    startFleet("", 3);
-    final GrantLoad load = startLoad();
-    pauseSeconds(3);
-    setGrant(OrganisationSpec.of(LOWER_RATE, LOWER_BURST));
-    final long inForceAtNanos = System.nanoTime() + IN_FORCE_TIMEOUT.toNanos();
-    pauseSeconds(8);
-    fleet.platform().setOutage(true);
-    fleet.host(1).kill();
-    fleet.host(1).start();
-    pauseSeconds(6);
-    fleet.platform().setOutage(false);
-    fleet.platform().discardHistory();
-    pauseSeconds(5);
-    load.close();
-    double excess = load.excess(LOWER_RATE, LOWER_BURST, inForceAtNanos);
-    assertTrue(excess <= 0, excess + " over the lowered grant");
+    try (Fleet fleet = startFleet("", 3);
+        GrantLoad load = startLoad(fleet)) {
+      pauseSeconds(3);
+      setGrant(fleet, OrganisationSpec.of(LOWER_RATE, LOWER_BURST));
+      final long inForceAtNanos = System.nanoTime() + IN_FORCE_TIMEOUT.toNanos();
+      pauseSeconds(8);
+      fleet.platform().setOutage(true);
+      fleet.host(1).kill();
+      fleet.host(1).start();
+      pauseSeconds(6);
+      fleet.platform().setOutage(false);
+      fleet.platform().discardHistory();
+      pauseSeconds(5);
+      load.close();
+      double excess = load.excess(LOWER_RATE, LOWER_BURST, inForceAtNanos);
+      assertTrue(excess <= 0, excess + " over the lowered grant");
+    }
   }
 
   @Test
   public void raisedGrantIsServedByAllHostsTogether() {
-    startFleet("", 3);
-    setGrant(OrganisationSpec.of(LOWER_RATE, LOWER_BURST));
-    GrantLoad load = startLoad();
-    pauseSeconds(5);
-    setGrant(OrganisationSpec.of(RATE, BURST));
-    long raisedAtNanos = System.nanoTime();
-    Eventually.that(
-        "the raised rate is served", () -> load.excess(LOWER_RATE * 3, BURST, raisedAtNanos) > 0);
-    load.close();
-    // The raised burst is available at once, on top of what the old grant admitted just before.
-    assertTrue(load.excess(RATE, BURST + LOWER_BURST, 0) <= 0);
+    try (Fleet fleet = startFleet("", 3)) {
+      setGrant(fleet, OrganisationSpec.of(LOWER_RATE, LOWER_BURST));
+      GrantLoad load = startLoad(fleet);
+      pauseSeconds(5);
+      setGrant(fleet, OrganisationSpec.of(RATE, BURST));
+      long raisedAtNanos = System.nanoTime();
+      Eventually.that(
+          "the raised rate is served", () -> load.excess(LOWER_RATE * 3, BURST, raisedAtNanos) > 0);
+      load.close();
+      // The raised burst is available at once, on top of what the old grant admitted just before.
+      assertTrue(load.excess(RATE, BURST + LOWER_BURST, 0) <= 0);
+    }
   }
 
-  private void setGrant(OrganisationSpec spec) {
+  private static void setGrant(Fleet fleet, OrganisationSpec spec) {
     fleet
         .operator(0)
         .updateEntity(
--- a/server/src/test/java/org/trefoilbarrow/fleet/Fleet.java
+++ b/server/src/test/java/org/trefoilbarrow/fleet/Fleet.java
@@ -1,8 +1,12 @@
 package org.trefoilbarrow.fleet;
 
+import static com.google.common.base.Preconditions.checkState;
+
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -41,11 +45,15 @@
   public static final String SHORT_WARM_UP_SETTINGS =
       "\"backends\": {\"coldForMillis\": 100, \"rampForMillis\": 500}";
 
-  /**
-   * Starts at a port that depends on the process, so that parallel processes use different ports.
-   */
-  private static final AtomicInteger NEXT_PORT =
-      new AtomicInteger(10_000 + (int) (ProcessHandle.current().pid() % 200) * 100);
+  private static final int FIRST_PORT = 10_000;
+
+  /** Below the range of ports that the system assigns to outgoing connections. */
+  private static final int LAST_PORT = 32_000;
+
+  private static final AtomicInteger NEXT_PORT = new AtomicInteger(FIRST_PORT);
+
+  /** The first two bytes after 127 of the hosts' addresses, so that test processes share none. */
+  private static final long SUBNET = ProcessHandle.current().pid() % (254 * 254);
 
   private final Path folder;
   private final PlatformStandIn platform = PlatformStandIn.start(0);
@@ -92,8 +100,9 @@
   /** Adds a host that is not started yet; the hosts added before it are its seeds. */
   public HostProcess addHost(String name) {
     try {
-      List<Integer> ports = freePorts(3);
-      String address = "127.0.0." + (hosts.size() + 2);
+      String address =
+          String.format("127.%d.%d.%d", 1 + SUBNET / 254, 1 + SUBNET % 254, hosts.size() + 2);
+      List<Integer> ports = freePorts(address, 3);
       LinkStandIn link =
           LinkStandIn.start(
               new InetSocketAddress("127.0.0.1", 0), new InetSocketAddress(address, ports.get(2)));
@@ -240,14 +249,15 @@
     platform.close();
   }
 
-  /** Returns free ports below the ephemeral range; this process uses each only once. */
-  private static List<Integer> freePorts(int count) {
+  /** Returns free ports of an address; this process uses each only once. */
+  private static List<Integer> freePorts(String address, int count) throws IOException {
     List<Integer> ports = new ArrayList<>();
     while (ports.size() < count) {
       int port = NEXT_PORT.getAndIncrement();
-      try (ServerSocket socket = new ServerSocket(port)) {
+      checkState(port <= LAST_PORT, "no port is left up to %s", LAST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
         ports.add(socket.getLocalPort());
-      } catch (IOException e) {
+      } catch (BindException e) {
         // Another process uses the port.
       }
     }
