Elect the dispatching host by terms of the platform's record

Cause: each host chose the dispatching host by itself, the smallest name among the live links whose peer said that it reaches the platform. Ruled out: agreement between the hosts alone, since what must be agreed on belongs at the platform; a lease that is renewed, since renewals cost calls and fail just when the platform does.

Change: an object of the platform names the holder of the newest term. It is replaced on condition of its version only when neither a candidate nor any host that it reaches hears the holder, or when the holder resigns; heartbeats carry the term. Grants carry it too. A host that hears no holder places its work within its own slots, dealt out so that all hosts together stay within them; a new holder uses the part of the hosts that have reported their running work. A host does not use a grant for a backend server that it knows to be leaving. In calm no call is made to the platform.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -44,6 +44,7 @@
 import org.trefoilbarrow.transport.jobs.RequestJobTable;
 import org.trefoilbarrow.transport.link.PeerAddress;
 import org.trefoilbarrow.transport.link.PlacementClient;
+import org.trefoilbarrow.transport.link.TermStore;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
 import org.trefoilbarrow.transport.metrics.MetricsEndpoint;
 import org.trefoilbarrow.transport.platform.CollectionWatcher;
@@ -90,6 +91,9 @@
   /** How long new connections still arrive after a host reported that it is not ready. */
   private static final Duration UNREADY_GRACE_PERIOD = Duration.ofMillis(2600);
 
+  /** How long a dispatching host that leaves waits for the next one. */
+  private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(1);
+
   /** The part of the shutdown time that is reserved for the exit of the process. */
   private static final Duration EXIT_MARGIN = Duration.ofMillis(500);
 
@@ -152,7 +156,15 @@
             fleet, DispatchRules.DEFAULT, () -> ThreadLocalRandom.current().nextDouble());
     this.placements =
         new PlacementClient(
-            loop, self, fleet, dispatcher, this::isConnectedToPlatform, nanoClock, log);
+            loop,
+            self,
+            fleet,
+            dispatcher,
+            new TermStore(platform, executor, loop),
+            this::canDispatch,
+            this::isConnectedToPlatform,
+            nanoClock,
+            log);
     this.registration =
         new HostRegistration(
             platform,
@@ -214,6 +226,7 @@
     long limitNanos = Duration.ofMillis((long) (shutdownSeconds * 1000)).toNanos();
     loop.execute(
         () -> {
+          placements.leave();
           ingress.ifPresent(Ingress::startDraining);
           runner.ifPresent(JobRunner::stop);
         });
@@ -233,7 +246,8 @@
 
   private boolean isDrained(long stopStartNanos) {
     if (ingress.isEmpty()) {
-      return true;
+      return !placements.isDispatching()
+          || nanoClock.getAsLong() - stopStartNanos > HANDOVER_TIMEOUT.toNanos();
     }
     if (nanoClock.getAsLong() - stopStartNanos < UNREADY_GRACE_PERIOD.toNanos()) {
       return false;
@@ -285,6 +299,10 @@
         < PLATFORM_RESPONSE_TIMEOUT.toNanos();
   }
 
+  private boolean canDispatch() {
+    return !self.servesCallers() && !leaving && hasReadAllCollections();
+  }
+
   private boolean hasReadAllCollections() {
     return readCollectionCount.get() >= watchedCollectionCount;
   }
@@ -428,6 +446,7 @@
     }
     leaving = true;
     log.add("host", "removal asked", "host", self.host());
+    placements.leave();
     runner.ifPresent(JobRunner::stop);
     registration.confirmRemoval(self.host());
   }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -27,6 +27,7 @@
   private final DispatchRules rules;
   private final DoubleSupplier random;
   private final Map<BackendServerId, BackendLoad> loads = new HashMap<>();
+  private SlotShare share = SlotShare.ALL;
 
   BackendSlots(FleetView fleet, DispatchRules rules, DoubleSupplier random) {
     this.fleet = checkNotNull(fleet, "fleet");
@@ -34,6 +35,11 @@
     this.random = checkNotNull(random, "random");
   }
 
+  /** Sets how many slots of each server may be assigned. */
+  void setShare(SlotShare newShare) {
+    share = newShare;
+  }
+
   BackendLoad load(BackendServerId id) {
     return loads.computeIfAbsent(id, key -> new BackendLoad());
   }
@@ -46,12 +52,17 @@
             entry -> fleet.backend(entry.getKey()).isEmpty() && entry.getValue().running() == 0);
   }
 
-  /** Returns the number of slots of a service, in use or not. */
+  /** Returns whether a service has backend servers that work can be placed at, now or later. */
+  boolean hasServers(String service) {
+    return fleet.backends().stream().anyMatch(backend -> serves(backend, service));
+  }
+
+  /** Returns the number of slots of a service that may be assigned, in use or not. */
   int total(String service) {
     int total = 0;
     for (BackendServer backend : fleet.backends()) {
       if (serves(backend, service)) {
-        total += backend.slots();
+        total += share.slotsOf(backend);
       }
     }
     return total;
@@ -62,7 +73,7 @@
     int free = 0;
     for (BackendServer backend : fleet.backends()) {
       if (serves(backend, service)) {
-        free += Math.max(0, backend.slots() - load(backend.id()).running());
+        free += Math.max(0, share.slotsOf(backend) - load(backend.id()).running());
       }
     }
     return free;
@@ -81,7 +92,7 @@
         continue;
       }
       BackendLoad load = load(backend.id());
-      if (load.running() >= backend.slots()
+      if (load.running() >= share.slotsOf(backend)
           || isAtColdRateLimit(backend, load, fraction, nowNanos)) {
         continue;
       }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -90,6 +90,11 @@
     this.fraction = fraction;
   }
 
+  /** Sets how many slots of each backend server this dispatcher may assign. */
+  public void setSlotShare(SlotShare share) {
+    slots.setShare(checkNotNull(share, "share"));
+  }
+
   /** Submits a demand, which is placed, refused or kept waiting. A known demand is ignored. */
   public ImmutableList<Decision> submit(Demand demand, long nowNanos) {
     if (waiting.containsKey(demand.id()) || running.containsKey(demand.id())) {
@@ -231,12 +236,12 @@
   }
 
   private Optional<Decision> refusal(Demand demand, WaitingQueue queue, long nowNanos) {
-    int total = slots.total(demand.service());
-    if (total == 0) {
+    if (!slots.hasServers(demand.service())) {
       return Optional.of(
           refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
     }
-    if (!demand.repeated()) {
+    int total = slots.total(demand.service());
+    if (!demand.repeated() && total > 0) {
       int beingFreed =
           interruptibleItems(demand.service()).size() + revokedRunning(demand.service());
       int excess = queue.online().size() + 1 - slots.free(demand.service()) - beingFreed;
--- a/server/src/main/java/org/trefoilbarrow/state/ObjectKind.java
+++ b/server/src/main/java/org/trefoilbarrow/state/ObjectKind.java
@@ -29,7 +29,9 @@
   /** The cancellations of batch jobs by their callers. */
   JOB_END("job-ends"),
   /** The parts of batch jobs that are too large for one object. */
-  JOB_PIECE("job-pieces");
+  JOB_PIECE("job-pieces"),
+  /** The newest term of the dispatching host. */
+  DISPATCH_TERM("dispatch-terms");
 
   private final String collection;
 
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
@@ -19,7 +19,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.coordination.dispatch.Decision;
@@ -27,6 +26,7 @@
 import org.trefoilbarrow.coordination.dispatch.DemandId;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
+import org.trefoilbarrow.coordination.election.DispatchElection;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.OrganisationId;
@@ -39,9 +39,9 @@
 import org.trefoilbarrow.transport.link.generated.RevokedMessage;
 
 /**
- * Accepts the links of other hosts and submits their demands to the dispatcher. A host whose
- * heartbeats time out is treated as lost, so that its slots are released. Used only on the event
- * loop's thread.
+ * Accepts the links of other hosts and, while this host holds the newest term, submits their
+ * demands to the dispatcher. A host whose heartbeats time out is treated as lost, so that its slots
+ * are released. Used only on the event loop's thread.
  */
 final class DispatchServer {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -51,12 +51,13 @@
   private final EventLoop loop;
   private final PeerAddress self;
   private final Dispatcher dispatcher;
-  private final BooleanSupplier connectedToPlatform;
+  private final DispatchElection election;
+  private final Heartbeats heartbeats;
   private final LongSupplier nanoClock;
   private final Consumer<ImmutableList<Decision>> decisions;
   private final Runnable onClientsChanged;
   private final Map<HostId, ClientHandler> clients = new HashMap<>();
-  private final Set<HostId> hostsDispatchedHere = new HashSet<>();
+  private final Set<HostId> followers = new HashSet<>();
   private PlacementClient.MessageHandler messageHandler = PlacementClient.MessageHandler.NONE;
 
   /**
@@ -69,14 +70,16 @@
       EventLoop loop,
       PeerAddress self,
       Dispatcher dispatcher,
-      BooleanSupplier connectedToPlatform,
+      DispatchElection election,
+      Heartbeats heartbeats,
       LongSupplier nanoClock,
       Consumer<ImmutableList<Decision>> decisions,
       Runnable onClientsChanged) {
     this.loop = checkNotNull(loop, "loop");
     this.self = checkNotNull(self, "self");
     this.dispatcher = checkNotNull(dispatcher, "dispatcher");
-    this.connectedToPlatform = checkNotNull(connectedToPlatform, "connectedToPlatform");
+    this.election = checkNotNull(election, "election");
+    this.heartbeats = checkNotNull(heartbeats, "heartbeats");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.decisions = checkNotNull(decisions, "decisions");
     this.onClientsChanged = checkNotNull(onClientsChanged, "onClientsChanged");
@@ -92,14 +95,33 @@
     return clients.size();
   }
 
-  /** Returns how many of the given hosts are connected. */
-  long countConnected(Set<HostId> hosts) {
-    return clients.keySet().stream().filter(hosts::contains).count();
+  /** Returns the number of hosts that get their slots here. */
+  int followerCount() {
+    return followers.size();
+  }
+
+  /** Returns how many of the given hosts get their slots here. */
+  long countFollowers(Set<HostId> hosts) {
+    return followers.stream().filter(hosts::contains).count();
   }
 
   /** Returns whether a host that serves callers gets its slots here. */
   boolean isChosenDispatcher() {
-    return !hostsDispatchedHere.isEmpty();
+    return followers.stream().map(clients::get).anyMatch(client -> client.servesCallers);
+  }
+
+  /** Sends a heartbeat to all clients at once, after what this host reports has changed. */
+  void announce() {
+    for (ClientHandler client : clients.values()) {
+      client.channel.writeAndFlush(
+          LinkMessage.pulse(heartbeats.answer(0, isChosenDispatcher())),
+          client.channel.voidPromise());
+    }
+  }
+
+  /** Drops the work of all clients, which the next dispatching host takes over. */
+  void dropClients() {
+    clients.keySet().forEach(dispatcher::hostRestarted);
   }
 
   /** Sends a decision to the host that it concerns, if that is connected. */
@@ -122,18 +144,11 @@
     }
   }
 
-  private void setDispatchedHere(HostId callerHost, boolean getsSlotsHere) {
-    if (getsSlotsHere) {
-      hostsDispatchedHere.add(callerHost);
-    } else {
-      hostsDispatchedHere.remove(callerHost);
-    }
-  }
-
-  private static LinkMessage toMessage(Decision decision) {
+  private LinkMessage toMessage(Decision decision) {
     long call = decision.demand().call();
     if (decision instanceof Decision.Placed placed) {
-      return LinkMessage.placed(new PlacedMessage(call, placed.backend().value()));
+      return LinkMessage.placed(
+          new PlacedMessage(call, placed.backend().value()).setTerm(election.termNumber()));
     }
     if (decision instanceof Decision.Refused refused) {
       return LinkMessage.refused(
@@ -182,20 +197,17 @@
     protected void channelRead0(ChannelHandlerContext context, LinkMessage message) {
       lastReceivedNanos = nanoClock.getAsLong();
       if (message.isSetPulse()) {
-        if (client.isPresent() && servesCallers) {
-          setDispatchedHere(client.get(), message.getPulse().isTakesPlaces());
-        }
-        PulseMessage answer =
-            new PulseMessage(
-                message.getPulse().getNumber(), true, connectedToPlatform.getAsBoolean());
-        answer.setTakesPlaces(isChosenDispatcher());
-        context.writeAndFlush(LinkMessage.pulse(answer));
+        receiveHeartbeat(message.getPulse());
+        context.writeAndFlush(
+            LinkMessage.pulse(
+                heartbeats.answer(message.getPulse().getNumber(), isChosenDispatcher())));
       } else if (message.isSetHello()) {
         HostId host = HostId.of(message.getHello().getHost());
         client = Optional.of(host);
         servesCallers = message.getHello().isServesCallers();
         channel = context.channel();
         clients.put(host, this);
+        followers.remove(host);
         dispatcher.hostRestarted(host);
         onClientsChanged.run();
       } else if (client.isPresent()) {
@@ -203,6 +215,21 @@
       }
     }
 
+    private void receiveHeartbeat(PulseMessage heartbeat) {
+      if (client.isEmpty()) {
+        return;
+      }
+      if (servesCallers) {
+        // The reports of other hosts arrive over this host's own links to them.
+        election.report(client.get(), Heartbeats.reportOf(heartbeat), nanoClock.getAsLong());
+      }
+      boolean changed =
+          heartbeat.isTakesPlaces() ? followers.add(client.get()) : followers.remove(client.get());
+      if (changed) {
+        onClientsChanged.run();
+      }
+    }
+
     private void serve(HostId host, LinkMessage message, ChannelHandlerContext context) {
       long now = nanoClock.getAsLong();
       if (message.isSetDemand()) {
@@ -220,6 +247,11 @@
     }
 
     private void submit(HostId host, DemandMessage message, long now) {
+      if (!election.isHolder()) {
+        // The sender submits its demands again once it knows the newest term.
+        logger.atFine().log("link: a demand of %s is for a former term, dropping it", host);
+        return;
+      }
       DemandId demandId = new DemandId(host, message.getCall());
       Set<BackendServerId> excluded = new HashSet<>();
       if (message.isSetExcluded()) {
@@ -248,7 +280,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       if (client.isPresent() && clients.remove(client.get(), this)) {
-        hostsDispatchedHere.remove(client.get());
+        followers.remove(client.get());
+        if (servesCallers) {
+          election.lose(client.get());
+        }
         dispatcher.hostLost(client.get(), nanoClock.getAsLong());
         onClientsChanged.run();
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
@@ -14,9 +14,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
+import org.trefoilbarrow.coordination.election.TermReport;
 import org.trefoilbarrow.transport.link.generated.HelloMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
 import org.trefoilbarrow.transport.link.generated.PulseMessage;
@@ -37,11 +37,9 @@
   private final EventLoop loop;
   private final PeerAddress peer;
   private final HelloMessage hello;
-  private final BooleanSupplier connectedToPlatform;
-  private final BooleanSupplier getsSlotsFromPeer;
+  private final LongFunction<PulseMessage> heartbeats;
   private final LongSupplier nanoClock;
-  private final Runnable onStateChange;
-  private final Consumer<LinkMessage> onMessage;
+  private final Listener listener;
   private Channel channel;
   private long lastReceivedNanos;
   private long heartbeatNumber;
@@ -50,23 +48,40 @@
   private boolean peerIsChosenDispatcher;
   private boolean closed;
 
+  /** Receives what happens on a link. */
+  interface Listener {
+    /** The peer sent a heartbeat. */
+    void reported(PeerAddress peer, TermReport report);
+
+    /** The peer is not heard any more. */
+    void lost(PeerAddress peer);
+
+    /** Whether the peer is live or connected to the platform has changed. */
+    void stateChanged();
+
+    /** The peer sent a message that is not a heartbeat. */
+    void received(PeerAddress peer, LinkMessage message);
+  }
+
+  /**
+   * Creates a link, which connects at once.
+   *
+   * @param hello the first message on each connection
+   * @param heartbeats creates the heartbeat with the given number
+   */
   Link(
       EventLoop loop,
       PeerAddress peer,
       HelloMessage hello,
-      BooleanSupplier connectedToPlatform,
-      BooleanSupplier getsSlotsFromPeer,
+      LongFunction<PulseMessage> heartbeats,
       LongSupplier nanoClock,
-      Runnable onStateChange,
-      Consumer<LinkMessage> onMessage) {
+      Listener listener) {
     this.loop = checkNotNull(loop, "loop");
     this.peer = checkNotNull(peer, "peer");
     this.hello = checkNotNull(hello, "hello");
-    this.connectedToPlatform = checkNotNull(connectedToPlatform, "connectedToPlatform");
-    this.getsSlotsFromPeer = checkNotNull(getsSlotsFromPeer, "getsSlotsFromPeer");
+    this.heartbeats = checkNotNull(heartbeats, "heartbeats");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
-    this.onStateChange = checkNotNull(onStateChange, "onStateChange");
-    this.onMessage = checkNotNull(onMessage, "onMessage");
+    this.listener = checkNotNull(listener, "listener");
     connect();
   }
 
@@ -141,10 +156,7 @@
       drop("no message within " + HEARTBEAT_TIMEOUT.toMillis() + " ms");
       return;
     }
-    PulseMessage request =
-        new PulseMessage(heartbeatNumber++, false, connectedToPlatform.getAsBoolean());
-    request.setTakesPlaces(getsSlotsFromPeer.getAsBoolean());
-    send(LinkMessage.pulse(request));
+    send(LinkMessage.pulse(heartbeats.apply(heartbeatNumber++)));
     loop.schedule(
         () -> sendHeartbeat(current), HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -160,7 +172,8 @@
       logger.atInfo().log(
           "link: connection to %s lost (%s); it is not used for dispatch until it answers again",
           peer.host(), reason);
-      onStateChange.run();
+      listener.lost(peer);
+      listener.stateChanged();
     }
   }
 
@@ -182,7 +195,7 @@
       if (message.isSetPulse()) {
         receiveHeartbeat(message.getPulse());
       } else {
-        onMessage.accept(message);
+        listener.received(peer, message);
       }
     }
 
@@ -194,8 +207,9 @@
       live = true;
       peerConnectedToPlatform = heartbeat.isFit();
       peerIsChosenDispatcher = heartbeat.isTakesPlaces();
+      listener.reported(peer, Heartbeats.reportOf(heartbeat));
       if (changed) {
-        onStateChange.run();
+        listener.stateChanged();
       }
     }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -7,14 +7,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -24,6 +20,9 @@
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.coordination.election.DispatchElection;
+import org.trefoilbarrow.coordination.election.ElectionRules;
+import org.trefoilbarrow.coordination.election.TermReport;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.state.fleet.BackendServer;
@@ -31,18 +30,16 @@
 import org.trefoilbarrow.transport.forward.EventLog;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
 import org.trefoilbarrow.transport.link.generated.FinishedMessage;
-import org.trefoilbarrow.transport.link.generated.HelloMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
 import org.trefoilbarrow.transport.link.generated.RefusedMessage;
 
 /**
  * Requests slots at backend servers for the work of this host from the dispatching host.
  *
- * <p>All hosts choose the same dispatching host: the first, in the order of their names, of the
- * live hosts that can dispatch, preferring those connected to the platform. While none is live, the
- * host dispatches for itself with its fraction of each limit. When the dispatching host changes,
- * waiting demands are submitted to the new one and running work is reported to it. Used only on the
- * event loop's thread.
+ * <p>The dispatching host is the holder of the newest term that this host knows and hears; see
+ * {@link DispatchElection}. While it hears none, the host dispatches for itself, with its part of
+ * the slots and of each limit. When the dispatching host changes, waiting demands are submitted to
+ * the new one and running work is reported to it. Used only on the event loop's thread.
  */
 public final class PlacementClient {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
@@ -53,17 +50,17 @@
   private final PeerAddress self;
   private final FleetView fleet;
   private final Dispatcher dispatcher;
-  private final BooleanSupplier connectedToPlatform;
+  private final DispatchElection election;
+  private final TermClaimer claimer;
   private final LongSupplier nanoClock;
   private final EventLog log;
   private final Map<Long, Call> calls = new LinkedHashMap<>();
-  private final Map<HostId, Link> links = new LinkedHashMap<>();
+  private final HostLinks links;
   private final DispatchServer server;
-  private final Set<HostId> callerHosts = new HashSet<>();
+  private final SlotShares shares;
   private final List<Runnable> onPeersChanged = new ArrayList<>();
   private MessageHandler messageHandler = MessageHandler.NONE;
-  private Optional<HostId> dispatchingHost = Optional.empty();
-  private boolean hasChosen;
+  private DispatchingHost dispatchingHost = DispatchingHost.NONE;
   private long nextCall;
 
   /** Handles the messages of a link that do not concern placements. */
@@ -93,12 +90,18 @@
     }
   }
 
-  /** Creates a client that has no peers yet. */
+  /**
+   * Creates a client that has no peers yet.
+   *
+   * @param canDispatch whether this host accepts the work of others and knows the backend servers
+   */
   public PlacementClient(
       EventLoop loop,
       PeerAddress self,
       FleetView fleet,
       Dispatcher dispatcher,
+      TermStore terms,
+      BooleanSupplier canDispatch,
       BooleanSupplier connectedToPlatform,
       LongSupplier nanoClock,
       EventLog log) {
@@ -106,24 +109,37 @@
     this.self = checkNotNull(self, "self");
     this.fleet = checkNotNull(fleet, "fleet");
     this.dispatcher = checkNotNull(dispatcher, "dispatcher");
-    this.connectedToPlatform = checkNotNull(connectedToPlatform, "connectedToPlatform");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.log = checkNotNull(log, "log");
+    this.election = new DispatchElection(self.host(), self.startedMillis(), ElectionRules.DEFAULT);
+    this.claimer =
+        new TermClaimer(election, terms, canDispatch, connectedToPlatform, nanoClock, log);
+    Heartbeats heartbeats = new Heartbeats(election, connectedToPlatform);
+    this.links =
+        new HostLinks(
+            loop,
+            self,
+            (peer, number) -> heartbeats.request(number, isDispatchedBy(peer)),
+            nanoClock,
+            new LinkListener());
     this.server =
         new DispatchServer(
             loop,
             self,
             dispatcher,
-            connectedToPlatform,
+            election,
+            heartbeats,
             nanoClock,
             this::apply,
-            this::updateFraction);
+            this::updateShares);
+    this.shares = new SlotShares(self, fleet, dispatcher, server);
   }
 
   /** Starts the client; a host that does not serve callers also starts to accept links. */
   public void start() {
     if (!self.servesCallers()) {
       server.listen();
+      claimer.start();
     }
     loop.scheduleAtFixedRate(
         this::tick, TICK_INTERVAL.toMillis(), TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
@@ -132,12 +148,26 @@
         STATE_LOG_INTERVAL.toMillis(),
         STATE_LOG_INTERVAL.toMillis(),
         TimeUnit.MILLISECONDS);
-    chooseDispatchingHost();
+    followElection();
+  }
+
+  /**
+   * Gives up the term, if this host holds it; the other hosts get their slots here until one of
+   * them takes over.
+   */
+  public void leave() {
+    election.leave();
+    server.announce();
   }
 
   private void tick() {
     long now = nanoClock.getAsLong();
     server.closeTimedOut(now);
+    claimer.tick(now);
+    followElection();
+    if (dispatchingHost.isSelf()) {
+      updateShares();
+    }
     apply(dispatcher.tick(now));
   }
 
@@ -170,25 +200,19 @@
 
   /** Replaces the hosts that are registered at the platform. */
   public void setPeers(Collection<PeerAddress> registeredHosts) {
-    Map<HostId, PeerAddress> dispatchPeers = new HashMap<>();
-    callerHosts.clear();
-    for (PeerAddress peer : registeredHosts) {
-      if (peer.servesCallers()) {
-        callerHosts.add(peer.host());
-      } else if (!peer.host().equals(self.host())) {
-        dispatchPeers.put(peer.host(), peer);
-      }
-    }
-    for (Link link : ImmutableList.copyOf(links.values())) {
-      if (!link.peer().equals(dispatchPeers.get(link.peer().host()))) {
-        links.remove(link.peer().host());
-        link.close();
-      }
-    }
-    for (PeerAddress peer : dispatchPeers.values()) {
-      links.computeIfAbsent(peer.host(), host -> connect(peer));
-    }
-    chooseDispatchingHost();
+    ImmutableList<PeerAddress> others =
+        registeredHosts.stream()
+            .filter(host -> !host.host().equals(self.host()))
+            .collect(ImmutableList.toImmutableList());
+    election.setOtherHostCount(others.size());
+    shares.setOtherHosts(others);
+    links.setPeers(
+        others.stream()
+            .filter(host -> !host.servesCallers())
+            .collect(ImmutableList.toImmutableList()));
+    followElection();
+    updateShares();
+    onPeersChanged.forEach(Runnable::run);
   }
 
   /**
@@ -197,10 +221,7 @@
    * @param connectedOnly whether to return only those that are connected to the platform
    */
   public ImmutableList<PeerAddress> livePeers(boolean connectedOnly) {
-    return links.values().stream()
-        .filter(link -> connectedOnly ? link.isConnectedToPlatform() : link.isLive())
-        .map(Link::peer)
-        .collect(ImmutableList.toImmutableList());
+    return connectedOnly ? links.connectedToPlatform() : links.live();
   }
 
   /**
@@ -209,24 +230,25 @@
    * their requests.
    */
   public boolean usesSharedDispatcher() {
-    if (dispatchingHost.isEmpty()) {
-      return server.isChosenDispatcher();
-    }
-    Link link = links.get(dispatchingHost.get());
-    return link != null && link.isChosenDispatcher();
+    return dispatchingHost
+        .remote()
+        .map(links::isChosenDispatcher)
+        .orElseGet(() -> dispatchingHost.isSelf() && server.isChosenDispatcher());
+  }
+
+  /** Returns the host that dispatches for this one, which may be this host, if it hears one. */
+  Optional<HostId> dispatchingHost() {
+    return dispatchingHost.host();
   }
 
-  /** Returns whether this host dispatches, for all hosts or for itself only. */
+  /** Returns whether this host dispatches for all hosts. */
   public boolean isDispatching() {
-    return hasChosen && dispatchingHost.isEmpty();
+    return dispatchingHost.isSelf();
   }
 
   /** Sends a message to a peer; it is dropped while the peer is not connected. */
   public void send(HostId host, LinkMessage message) {
-    Link link = links.get(host);
-    if (link != null) {
-      link.send(message);
-    }
+    links.send(host, message);
   }
 
   /**
@@ -252,96 +274,65 @@
 
   /** Assigns free slots to waiting demands after the fleet has changed. */
   public void onFleetChanged() {
+    updateShares();
     apply(dispatcher.tick(nanoClock.getAsLong()));
   }
 
-  private Link connect(PeerAddress peer) {
-    return new Link(
-        loop,
-        peer,
-        hello(),
-        connectedToPlatform,
-        () -> dispatchingHost.filter(peer.host()::equals).isPresent(),
-        nanoClock,
-        this::chooseDispatchingHost,
-        message -> receive(peer.host(), message));
-  }
-
-  private HelloMessage hello() {
-    return new HelloMessage(self.host().value(), self.servesCallers(), self.startedMillis());
-  }
-
   private DemandId localId(long number) {
     return new DemandId(self.host(), number);
   }
 
-  private void chooseDispatchingHost() {
-    List<HostId> connectedHosts = new ArrayList<>();
-    List<HostId> liveHosts = new ArrayList<>();
-    for (Link link : links.values()) {
-      if (link.isLive()) {
-        liveHosts.add(link.peer().host());
-      }
-      if (link.isConnectedToPlatform()) {
-        connectedHosts.add(link.peer().host());
-      }
-    }
-    if (!self.servesCallers()) {
-      liveHosts.add(self.host());
-      if (connectedToPlatform.getAsBoolean()) {
-        connectedHosts.add(self.host());
-      }
-    }
-    List<HostId> candidates = connectedHosts.isEmpty() ? liveHosts : connectedHosts;
-    Optional<HostId> chosenHost =
-        candidates.stream()
-            .min(Comparator.comparing(HostId::value))
-            .filter(host -> !host.equals(self.host()));
-    if (!hasChosen || !chosenHost.equals(dispatchingHost)) {
-      hasChosen = true;
-      switchTo(chosenHost);
-    }
-    updateFraction();
-    onPeersChanged.forEach(Runnable::run);
+  private boolean isDispatchedBy(HostId peer) {
+    return dispatchingHost.remote().filter(peer::equals).isPresent();
   }
 
-  private void switchTo(Optional<HostId> chosenHost) {
+  /** Moves the calls of this host if the election gave it another dispatching host. */
+  private void followElection() {
+    DispatchingHost next = DispatchingHost.of(election, self, nanoClock.getAsLong());
+    if (next.equals(dispatchingHost)) {
+      return;
+    }
     log.add(
         "dispatch",
-        "places come from",
+        "dispatching host changed",
         "host",
-        chosenHost.map(HostId::value).orElse("here"),
+        next.host().map(HostId::value).orElse("none"),
+        "term",
+        next.term(),
         "calls",
         calls.size());
-    if (dispatchingHost.isEmpty()) {
-      dispatcher.hostRestarted(self.host());
+    leaveDispatchingHost(next);
+    dispatchingHost = next;
+    shares.onDispatchingHostChanged(next, nanoClock.getAsLong());
+    next.remote().ifPresent(host -> links.send(host, LinkMessage.hello(links.hello())));
+    if (next.isSelf()) {
+      server.announce();
     }
-    // A hello makes the receiver drop the demands that it holds for this host. The previous host's
-    // placements are reported to the next one, which may still hold some from an earlier time.
-    dispatchingHost.ifPresent(previous -> send(previous, LinkMessage.hello(hello())));
-    dispatchingHost = chosenHost;
-    chosenHost.ifPresent(next -> send(next, LinkMessage.hello(hello())));
     ImmutableList.copyOf(calls.entrySet())
         .forEach(entry -> submitToDispatchingHost(entry.getKey(), entry.getValue()));
   }
 
-  private void updateFraction() {
-    int callerHostCount = Math.max(1, callerHosts.size());
-    double fraction;
-    if (self.servesCallers()) {
-      fraction = 1.0 / callerHostCount;
+  private void leaveDispatchingHost(DispatchingHost next) {
+    if (dispatchingHost.remote().isPresent()) {
+      // A hello makes the receiver drop the demands that it holds for this host.
+      links.send(dispatchingHost.remote().get(), LinkMessage.hello(links.hello()));
     } else {
-      long linkedCallerHosts = server.countConnected(callerHosts);
-      fraction =
-          Math.max(1, Math.min(callerHostCount, linkedCallerHosts)) / (double) callerHostCount;
+      dispatcher.hostRestarted(self.host());
+    }
+    if (dispatchingHost.isSelf() && !next.isSelf()) {
+      server.dropClients();
+      server.announce();
     }
-    dispatcher.setFraction(fraction);
+  }
+
+  private void updateShares() {
+    shares.update(dispatchingHost, nanoClock.getAsLong());
   }
 
   private void submitToDispatchingHost(long number, Call call) {
     DemandSpec demand = call.demand;
     long now = nanoClock.getAsLong();
-    if (dispatchingHost.isEmpty()) {
+    if (dispatchingHost.remote().isEmpty()) {
       Demand local = toDemand(localId(number), demand);
       if (call.backend.isPresent()) {
         dispatcher.registerRunning(local, call.backend.get(), now);
@@ -366,7 +357,7 @@
       message.setExcluded(demand.excluded().stream().map(BackendServerId::value).toList());
     }
     call.backend.ifPresent(backend -> message.setRunningOn(backend.value()));
-    send(dispatchingHost.get(), LinkMessage.demand(message));
+    links.send(dispatchingHost.remote().get(), LinkMessage.demand(message));
   }
 
   private static Demand toDemand(DemandId id, DemandSpec demand) {
@@ -384,11 +375,15 @@
 
   private void receive(HostId from, LinkMessage message) {
     boolean isDecision = message.isSetPlaced() || message.isSetRefused() || message.isSetRevoked();
-    if (isDecision && dispatchingHost.filter(from::equals).isEmpty()) {
+    if (isDecision && !isDispatchedBy(from)) {
       // The demand was submitted to another host since; two placements would be two runs.
       return;
     }
     if (message.isSetPlaced()) {
+      if (message.getPlaced().isSetTerm()
+          && message.getPlaced().getTerm() != dispatchingHost.term()) {
+        return;
+      }
       placed(message.getPlaced().getCall(), BackendServerId.of(message.getPlaced().getBackend()));
     } else if (message.isSetRefused()) {
       RefusedMessage refused = message.getRefused();
@@ -409,8 +404,9 @@
       return;
     }
     Optional<BackendServer> backend = fleet.backend(id);
-    if (backend.isEmpty()) {
-      // The backend server is not in the fleet state of this host: not yet, or no longer.
+    if (backend.filter(fleet::isUsable).isEmpty()) {
+      // This host does not know the backend server yet, or knows before the dispatching host that
+      // it is leaving, gone or in a drained domain.
       calls.remove(number);
       report(number, PlacementResult.CANCELLED);
       Call retry = new Call(call.demand.excluding(id), call.listener);
@@ -423,9 +419,9 @@
   }
 
   private void report(long number, PlacementResult result) {
-    if (dispatchingHost.isPresent()) {
-      send(
-          dispatchingHost.get(),
+    if (dispatchingHost.remote().isPresent()) {
+      links.send(
+          dispatchingHost.remote().get(),
           LinkMessage.finished(new FinishedMessage(number, result.ordinal())));
     } else {
       apply(dispatcher.finished(localId(number), result, nanoClock.getAsLong()));
@@ -461,7 +457,7 @@
     // Run later, since a listener may submit again while the dispatcher still makes its decisions.
     loop.execute(
         () -> {
-          if (dispatchingHost.isPresent()) {
+          if (dispatchingHost.remote().isPresent()) {
             // Another host dispatches by now; it has the demand.
             return;
           }
@@ -474,4 +470,29 @@
           }
         });
   }
+
+  /** Passes what happens on the links to the election and to the handlers of messages. */
+  private final class LinkListener implements Link.Listener {
+    @Override
+    public void reported(PeerAddress peer, TermReport report) {
+      election.report(peer.host(), report, nanoClock.getAsLong());
+      followElection();
+    }
+
+    @Override
+    public void lost(PeerAddress peer) {
+      election.lose(peer.host());
+      followElection();
+    }
+
+    @Override
+    public void stateChanged() {
+      onPeersChanged.forEach(Runnable::run);
+    }
+
+    @Override
+    public void received(PeerAddress peer, LinkMessage message) {
+      receive(peer.host(), message);
+    }
+  }
 }
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -37,6 +37,8 @@
 struct PlacedMessage {
   1: required i64 call
   2: required string backend
+  /** The number of the term in which the sender dispatches. */
+  3: optional i64 term
 }
 
 /** Refuses a demand. */
@@ -77,6 +79,20 @@
   5: optional binary body
 }
 
+/** What the sender of a heartbeat knows about the dispatching host. */
+struct TermReportMessage {
+  /** The newest term that the sender knows; unset if it knows none. */
+  1: optional i64 number
+  2: optional string holder
+  3: optional i64 holderStartedMillis
+  /** Whether the sender hears the holder of that term, or holds it. */
+  4: required bool hearsHolder
+  /** Whether the sender holds that term and wants another host to take over. */
+  5: required bool resigned
+  /** Whether the sender can take over. */
+  6: required bool candidate
+}
+
 /** A heartbeat; the receiver answers with a message of the same type. */
 struct PulseMessage {
   1: required i64 number
@@ -88,6 +104,7 @@
    * host that serves callers gets its slots from the sender.
    */
   4: optional bool takesPlaces
+  5: optional TermReportMessage report
 }
 
 /** One message on a link; each frame holds one. */
