Make the cost of a dispatch decision independent of the waiting items

Each submission, end and tick walked the whole queue, compared every late item with every other (removeAll of a list) and sorted all running items.

Change: waiting items are read as ranges of the queue sorted by objective (urgent, timely, late); running items stay sorted by the order in which they are interrupted, with counts of urgent and revoked ones; the usable servers of a service are indexed until the fleet changes. Dispatcher is cut along its jobs: RunningWork, RateLimits, and the choice of servers as before. The decisions are the same.

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,8 @@
   private final DispatchRules rules;
   private final DoubleSupplier random;
   private final Map<BackendServerId, BackendLoad> loads = new HashMap<>();
+  private final Map<String, ImmutableList<BackendServer>> usable = new HashMap<>();
+  private long indexedChangeCount = -1;
   private SlotShare share = SlotShare.ALL;
 
   BackendSlots(FleetView fleet, DispatchRules rules, DoubleSupplier random) {
@@ -54,14 +57,14 @@
 
   /** Returns whether a service has backend servers that work can be placed at, now or later. */
   boolean hasServers(String service) {
-    return fleet.backends().stream().anyMatch(backend -> serves(backend, service));
+    return usable(service).stream().anyMatch(this::isCurrent);
   }
 
   /** Returns the number of slots of a service that may be assigned, in use or not. */
   int total(String service) {
     int total = 0;
-    for (BackendServer backend : fleet.backends()) {
-      if (serves(backend, service)) {
+    for (BackendServer backend : usable(service)) {
+      if (isCurrent(backend)) {
         total += share.slotsOf(backend);
       }
     }
@@ -71,8 +74,8 @@
   /** Returns the number of free slots of a service. */
   int free(String service) {
     int free = 0;
-    for (BackendServer backend : fleet.backends()) {
-      if (serves(backend, service)) {
+    for (BackendServer backend : usable(service)) {
+      if (isCurrent(backend)) {
         free += Math.max(0, share.slotsOf(backend) - load(backend.id()).running());
       }
     }
@@ -87,8 +90,8 @@
   Optional<BackendServer> choose(Demand demand, double fraction, long nowNanos) {
     BackendServer best = null;
     double bestScore = Double.MAX_VALUE;
-    for (BackendServer backend : fleet.backends()) {
-      if (!serves(backend, demand.service()) || demand.excluded().contains(backend.id())) {
+    for (BackendServer backend : usable(demand.service())) {
+      if (!isCurrent(backend) || demand.excluded().contains(backend.id())) {
         continue;
       }
       BackendLoad load = load(backend.id());
@@ -109,10 +112,23 @@
     return Optional.ofNullable(best);
   }
 
-  private boolean serves(BackendServer backend, String service) {
-    return backend.service().equals(service)
-        && fleet.isUsable(backend)
-        && !load(backend.id()).isReplaced();
+  /** Returns the backend servers of a service that may get new requests. */
+  private ImmutableList<BackendServer> usable(String service) {
+    if (fleet.changeCount() != indexedChangeCount) {
+      usable.clear();
+      indexedChangeCount = fleet.changeCount();
+    }
+    return usable.computeIfAbsent(service, this::findUsable);
+  }
+
+  private ImmutableList<BackendServer> findUsable(String service) {
+    return fleet.backends().stream()
+        .filter(backend -> backend.service().equals(service) && fleet.isUsable(backend))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private boolean isCurrent(BackendServer backend) {
+    return !load(backend.id()).isReplaced();
   }
 
   private boolean isAtColdRateLimit(
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -1,26 +1,19 @@
 package org.trefoilbarrow.coordination.dispatch;
 
-import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
-import org.trefoilbarrow.coordination.token.AdjustableTokenBucket;
-import org.trefoilbarrow.coordination.token.Grant;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
-import org.trefoilbarrow.protocol.OrganisationId;
 import org.trefoilbarrow.state.fleet.BackendServer;
-import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.FleetView;
-import org.trefoilbarrow.state.fleet.Organisation;
 
 /**
  * Places the work of all hosts at backend servers.
@@ -45,30 +38,17 @@
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(200);
   private static final Duration RETRY_DELAY_SPREAD = Duration.ofMillis(600);
 
-  private final FleetView fleet;
   private final DispatchRules rules;
   private final DoubleSupplier random;
   private final BackendSlots slots;
-  private final Map<DemandId, Running> running = new HashMap<>();
+  private final RateLimits rateLimits;
+  private final Map<DemandId, RunningWork.Entry> running = new HashMap<>();
   private final Map<DemandId, Demand> waiting = new HashMap<>();
-  private final Map<String, WaitingQueue> queues = new HashMap<>();
-  private final Map<OrganisationId, AdjustableTokenBucket> buckets = new HashMap<>();
+  private final Map<String, ServiceWork> services = new HashMap<>();
   private final Map<HostId, Long> lostHosts = new HashMap<>();
-  private double fraction = 1;
-
-  /** Work that has a slot. */
-  private static final class Running {
-    final Demand demand;
-    final BackendServerId backend;
-    final long sinceNanos;
-    boolean revoked;
-
-    Running(Demand demand, BackendServerId backend, long sinceNanos) {
-      this.demand = demand;
-      this.backend = backend;
-      this.sinceNanos = sinceNanos;
-    }
-  }
+
+  /** The work of one service. */
+  private record ServiceWork(WaitingQueue waiting, RunningWork running) {}
 
   /**
    * Creates a dispatcher without work.
@@ -77,17 +57,15 @@
    *     between servers
    */
   public Dispatcher(FleetView fleet, DispatchRules rules, DoubleSupplier random) {
-    this.fleet = checkNotNull(fleet, "fleet");
     this.rules = checkNotNull(rules, "rules");
     this.random = checkNotNull(random, "random");
     this.slots = new BackendSlots(fleet, rules, random);
+    this.rateLimits = new RateLimits(fleet);
   }
 
   /** Sets the fraction of each limit that this dispatcher may use, above 0 and at most 1. */
   public void setFraction(double fraction) {
-    checkArgument(
-        fraction > 0 && fraction <= 1, "fraction must be above 0 and at most 1: %s", fraction);
-    this.fraction = fraction;
+    rateLimits.setFraction(fraction);
   }
 
   /** Sets how many slots of each backend server this dispatcher may assign. */
@@ -100,21 +78,21 @@
     if (waiting.containsKey(demand.id()) || running.containsKey(demand.id())) {
       return ImmutableList.of();
     }
-    WaitingQueue queue = queue(demand.service());
     if (!demand.batch()) {
-      Optional<Decision> refusal = refusal(demand, queue, nowNanos);
+      Optional<Decision> refusal = refusal(demand, nowNanos);
       if (refusal.isPresent()) {
         return ImmutableList.of(refusal.get());
       }
     }
     waiting.put(demand.id(), demand);
-    queue.add(demand);
+    work(demand.service()).waiting().add(demand);
     return assignSlots(demand.service(), nowNanos);
   }
 
   /** Registers work that a host reports as already running. */
   public void registerRunning(Demand demand, BackendServerId backend, long nowNanos) {
-    if (running.putIfAbsent(demand.id(), new Running(demand, backend, nowNanos)) == null) {
+    if (!running.containsKey(demand.id())) {
+      addRunning(demand, backend, nowNanos);
       slots.load(backend).registeredRunning();
     }
   }
@@ -123,24 +101,23 @@
   public ImmutableList<Decision> finished(DemandId id, PlacementResult result, long nowNanos) {
     Demand waited = waiting.remove(id);
     if (waited != null) {
-      queue(waited.service()).remove(waited);
+      work(waited.service()).waiting().remove(waited);
       return ImmutableList.of();
     }
-    Running ended = running.remove(id);
+    RunningWork.Entry ended = running.remove(id);
     if (ended == null) {
       return ImmutableList.of();
     }
-    BackendLoad load = slots.load(ended.backend);
-    load.ended();
-    recordResult(ended, load, result, nowNanos);
-    return assignSlots(ended.demand.service(), nowNanos);
+    release(ended);
+    recordResult(ended, result, nowNanos);
+    return assignSlots(ended.demand().service(), nowNanos);
   }
 
   /** Removes all demands of a host that has restarted. */
   public void hostRestarted(HostId host) {
     lostHosts.remove(host);
     dropWaiting(host);
-    running.values().removeIf(entry -> release(entry, host));
+    releaseAll(host);
   }
 
   /**
@@ -161,12 +138,12 @@
               if (nowNanos - lost.getValue() < 0) {
                 return false;
               }
-              running.values().removeIf(entry -> release(entry, lost.getKey()));
+              releaseAll(lost.getKey());
               return true;
             });
     slots.evictRemoved();
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
-    for (String service : ImmutableList.copyOf(queues.keySet())) {
+    for (String service : ImmutableList.copyOf(services.keySet())) {
       decisions.addAll(assignSlots(service, nowNanos));
     }
     return decisions.build();
@@ -185,15 +162,15 @@
   /** Returns the number of demands and slots of each service, for logs. */
   public String describe() {
     StringBuilder text = new StringBuilder();
-    queues.forEach(
-        (service, queue) ->
+    services.forEach(
+        (service, work) ->
             text.append(
                 String.format(
                     "%s online %d late %d batch %d places %d free %d; ",
                     service,
-                    queue.online().size(),
-                    queue.late().size(),
-                    queue.batch().size(),
+                    work.waiting().online().size(),
+                    work.waiting().late().size(),
+                    work.waiting().itemCount(),
                     slots.total(service),
                     slots.free(service))));
     return text.toString().trim();
@@ -207,26 +184,43 @@
               if (!demand.id().host().equals(host)) {
                 return false;
               }
-              queue(demand.service()).remove(demand);
+              work(demand.service()).waiting().remove(demand);
               return true;
             });
   }
 
-  private boolean release(Running entry, HostId host) {
-    if (!entry.demand.id().host().equals(host)) {
-      return false;
-    }
-    slots.load(entry.backend).ended();
-    return true;
+  private void releaseAll(HostId host) {
+    running
+        .values()
+        .removeIf(
+            entry -> {
+              if (!entry.demand().id().host().equals(host)) {
+                return false;
+              }
+              release(entry);
+              return true;
+            });
+  }
+
+  private void addRunning(Demand demand, BackendServerId backend, long nowNanos) {
+    RunningWork.Entry entry =
+        new RunningWork.Entry(demand, backend, nowNanos, isUrgent(demand, nowNanos));
+    running.put(demand.id(), entry);
+    work(demand.service()).running().add(entry);
+  }
+
+  private void release(RunningWork.Entry entry) {
+    work(entry.demand().service()).running().remove(entry);
+    slots.load(entry.backend()).ended();
   }
 
-  private void recordResult(
-      Running ended, BackendLoad load, PlacementResult result, long nowNanos) {
+  private void recordResult(RunningWork.Entry ended, PlacementResult result, long nowNanos) {
+    BackendLoad load = slots.load(ended.backend());
     switch (result) {
       case ANSWERED -> {
         load.succeeded();
-        if (!ended.demand.batch()) {
-          queue(ended.demand.service()).recordServiceTime(nowNanos - ended.sinceNanos);
+        if (!ended.demand().batch()) {
+          work(ended.demand().service()).waiting().recordServiceTime(nowNanos - ended.sinceNanos());
         }
       }
       case FAILED, STALLED, NOT_RUN -> load.failed(nowNanos, rules);
@@ -235,42 +229,26 @@
     }
   }
 
-  private Optional<Decision> refusal(Demand demand, WaitingQueue queue, long nowNanos) {
+  private Optional<Decision> refusal(Demand demand, long nowNanos) {
     if (!slots.hasServers(demand.service())) {
       return Optional.of(
           refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
     }
     int total = slots.total(demand.service());
     if (!demand.repeated() && total > 0) {
+      ServiceWork work = work(demand.service());
       int beingFreed =
-          interruptibleItems(demand.service()).size() + revokedRunning(demand.service());
-      int excess = queue.online().size() + 1 - slots.free(demand.service()) - beingFreed;
-      double waitNanos = Math.max(0, excess) * queue.serviceNanos() / total;
+          work.running().interruptibleCount(urgentSlots(total)) + work.running().revokedCount();
+      int excess = work.waiting().online().size() + 1 - slots.free(demand.service()) - beingFreed;
+      double waitNanos = Math.max(0, excess) * work.waiting().serviceNanos() / total;
       if (nowNanos + waitNanos > demand.objectiveNanos()) {
         return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
       }
     }
-    return demand.organisation().flatMap(id -> overRate(demand, id, nowNanos));
-  }
-
-  private Optional<Decision> overRate(Demand demand, OrganisationId id, long nowNanos) {
-    Organisation organisation =
-        fleet
-            .catalog()
-            .map(Catalog::organisations)
-            .map(organisations -> organisations.get(id))
-            .orElse(null);
-    if (organisation == null || organisation.ratePerSecond() <= 0) {
-      return Optional.empty();
-    }
-    Grant grant = new Grant(organisation.ratePerSecond(), Math.max(1, organisation.burst()), 0);
-    AdjustableTokenBucket bucket =
-        buckets.computeIfAbsent(id, key -> new AdjustableTokenBucket(nowNanos));
-    if (bucket.tryAcquire(grant, fraction, nowNanos)) {
-      return Optional.empty();
-    }
-    return Optional.of(
-        refused(demand, RefusalReason.OVER_RATE, (long) (1e9 / organisation.ratePerSecond())));
+    return demand
+        .organisation()
+        .flatMap(id -> rateLimits.charge(id, nowNanos))
+        .map(waitNanos -> refused(demand, RefusalReason.OVER_RATE, waitNanos));
   }
 
   private Decision refused(Demand demand, RefusalReason reason, long waitNanos) {
@@ -279,88 +257,44 @@
     return new Decision.Refused(demand.id(), reason, millis);
   }
 
-  /**
-   * Returns the batch items that may be interrupted, in the order in which to interrupt them: items
-   * that are late anyway, then items with the latest objective. The reserved number of the most
-   * urgent items is left out.
-   */
-  private List<Running> interruptibleItems(String service) {
-    List<Running> items = new ArrayList<>();
-    int urgent = 0;
-    for (Running entry : running.values()) {
-      if (entry.demand.batch() && entry.demand.service().equals(service) && !entry.revoked) {
-        items.add(entry);
-        urgent += isUrgent(entry.demand, entry.sinceNanos) ? 1 : 0;
-      }
-    }
-    int reserved = Math.min(urgent, (int) (slots.total(service) * rules.urgentItemFraction()));
-    items.sort(
-        Comparator.comparing((Running entry) -> isUrgent(entry.demand, entry.sinceNanos))
-            .thenComparing((Running entry) -> !isLate(entry.demand, entry.sinceNanos))
-            .thenComparing(
-                Comparator.comparingLong((Running entry) -> entry.demand.objectiveNanos())
-                    .reversed()));
-    return items.subList(0, items.size() - reserved);
-  }
-
-  /** Returns the number of items that were revoked and still hold their slots. */
-  private int revokedRunning(String service) {
-    int revoked = 0;
-    for (Running entry : running.values()) {
-      if (entry.revoked && entry.demand.service().equals(service)) {
-        revoked++;
-      }
-    }
-    return revoked;
-  }
-
-  private int urgentRunning(String service) {
-    int urgent = 0;
-    for (Running entry : running.values()) {
-      if (entry.demand.service().equals(service)
-          && entry.demand.batch()
-          && isUrgent(entry.demand, entry.sinceNanos)) {
-        urgent++;
-      }
-    }
-    return urgent;
+  /** Returns how many slots are reserved for urgent items. */
+  private int urgentSlots(int total) {
+    return (int) (total * rules.urgentItemFraction());
   }
 
   private boolean isUrgent(Demand demand, long startNanos) {
-    return !isLate(demand, startNanos)
-        && demand.objectiveNanos() - startNanos < rules.urgencyWindow().toNanos();
-  }
-
-  private static boolean isLate(Demand demand, long startNanos) {
-    return demand.objectiveNanos() - startNanos <= 0;
+    long remainingNanos = demand.objectiveNanos() - startNanos;
+    return demand.batch() && remainingNanos > 0 && remainingNanos < rules.urgencyWindow().toNanos();
   }
 
+  /**
+   * Assigns the free slots of a service. Its cost does not grow with the number of waiting items,
+   * which is largest when there is least time to decide.
+   */
   private ImmutableList<Decision> assignSlots(String service, long nowNanos) {
-    WaitingQueue queue = queue(service);
+    ServiceWork work = work(service);
+    WaitingQueue queue = work.waiting();
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
     moveLate(queue, decisions, nowNanos);
-    List<Demand> urgent = new ArrayList<>();
-    List<Demand> lateItems = new ArrayList<>();
-    for (Demand demand : queue.batch()) {
-      if (isUrgent(demand, nowNanos)) {
-        urgent.add(demand);
-      } else if (isLate(demand, nowNanos)) {
-        lateItems.add(demand);
-      }
-    }
-    int reserved = (int) (slots.total(service) * rules.urgentItemFraction());
-    int placeable = queue.online().isEmpty() ? urgent.size() : reserved - urgentRunning(service);
-    placeAll(
-        urgent.subList(0, Math.max(0, Math.min(placeable, urgent.size()))), 0, decisions, nowNanos);
-    placeAll(new ArrayList<>(queue.online()), 0, decisions, nowNanos);
-    interrupt(queue.online().size(), service, decisions);
+    int total = slots.total(service);
+    int urgentLimit =
+        queue.online().isEmpty()
+            ? Integer.MAX_VALUE
+            : urgentSlots(total) - work.running().urgentCount();
+    place(
+        service,
+        queue.urgentItems(nowNanos, rules.urgencyWindow().toNanos()),
+        urgentLimit,
+        0,
+        decisions,
+        nowNanos);
+    placeAll(service, queue.online(), 0, decisions, nowNanos);
+    interrupt(queue.online().size(), work.running(), urgentSlots(total), decisions);
     if (queue.online().isEmpty()) {
-      int reserve = (int) Math.ceil(slots.total(service) * rules.onlineReserveFraction());
-      List<Demand> items = new ArrayList<>(queue.batch());
-      items.removeAll(lateItems);
-      placeAll(items, reserve, decisions, nowNanos);
-      placeAll(new ArrayList<>(queue.late()), 0, decisions, nowNanos);
-      placeAll(lateItems, reserve, decisions, nowNanos);
+      int reserve = (int) Math.ceil(total * rules.onlineReserveFraction());
+      placeAll(service, queue.timelyItems(nowNanos), reserve, decisions, nowNanos);
+      placeAll(service, queue.late(), 0, decisions, nowNanos);
+      placeAll(service, queue.lateItems(nowNanos), reserve, decisions, nowNanos);
     }
     return decisions.build();
   }
@@ -371,9 +305,10 @@
    */
   private void moveLate(
       WaitingQueue queue, ImmutableList.Builder<Decision> decisions, long nowNanos) {
-    for (Demand demand : ImmutableList.copyOf(queue.online())) {
+    for (Iterator<Demand> demands = queue.online().iterator(); demands.hasNext(); ) {
+      Demand demand = demands.next();
       if (nowNanos - demand.objectiveNanos() > 0) {
-        queue.online().remove(demand);
+        demands.remove();
         if (demand.repeated()) {
           queue.late().add(demand);
         } else {
@@ -381,11 +316,12 @@
         }
       }
     }
-    for (Demand demand : ImmutableList.copyOf(queue.late())) {
+    for (Iterator<Demand> demands = queue.late().iterator(); demands.hasNext(); ) {
+      Demand demand = demands.next();
       double maxLateNanos =
           (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitFraction();
       if (nowNanos - demand.objectiveNanos() > maxLateNanos) {
-        queue.late().remove(demand);
+        demands.remove();
         refuseWaiting(demand, decisions);
       }
     }
@@ -397,43 +333,65 @@
   }
 
   private void placeAll(
-      List<Demand> demands, int reserve, ImmutableList.Builder<Decision> decisions, long nowNanos) {
-    for (Demand demand : demands) {
-      if (reserve > 0 && slots.free(demand.service()) <= reserve) {
-        return;
-      }
-      Optional<BackendServer> backend = slots.choose(demand, fraction, nowNanos);
+      String service,
+      NavigableSet<Demand> demands,
+      int reserve,
+      ImmutableList.Builder<Decision> decisions,
+      long nowNanos) {
+    place(service, demands, Integer.MAX_VALUE, reserve, decisions, nowNanos);
+  }
+
+  /**
+   * Places waiting demands in their order.
+   *
+   * @param limit the most demands to place
+   * @param reserve the number of free slots to leave
+   */
+  private void place(
+      String service,
+      NavigableSet<Demand> demands,
+      int limit,
+      int reserve,
+      ImmutableList.Builder<Decision> decisions,
+      long nowNanos) {
+    int placeable = demands.isEmpty() ? 0 : Math.min(limit, slots.free(service) - reserve);
+    Iterator<Demand> remaining = demands.iterator();
+    while (placeable > 0 && remaining.hasNext()) {
+      Demand demand = remaining.next();
+      Optional<BackendServer> backend = slots.choose(demand, rateLimits.fraction(), nowNanos);
       if (backend.isEmpty()) {
         if (demand.excluded().isEmpty()) {
           return;
         }
         continue;
       }
+      remaining.remove();
+      waiting.remove(demand.id());
       BackendServerId id = backend.get().id();
       slots.load(id).placed(nowNanos);
-      waiting.remove(demand.id());
-      queue(demand.service()).remove(demand);
-      running.put(demand.id(), new Running(demand, id, nowNanos));
+      addRunning(demand, id, nowNanos);
       decisions.add(new Decision.Placed(demand.id(), id));
+      placeable--;
     }
   }
 
-  private void interrupt(int wanted, String service, ImmutableList.Builder<Decision> decisions) {
-    int missing = wanted - revokedRunning(service);
+  private static void interrupt(
+      int wanted, RunningWork running, int reserved, ImmutableList.Builder<Decision> decisions) {
+    int missing = wanted - running.revokedCount();
     if (missing <= 0) {
       return;
     }
-    interruptibleItems(service).stream()
-        .limit(missing)
-        .forEach(
-            entry -> {
-              entry.revoked = true;
-              decisions.add(new Decision.Revoked(entry.demand.id()));
-            });
+    int interrupted = Math.min(missing, running.interruptibleCount(reserved));
+    for (int item = 0; item < interrupted; item++) {
+      decisions.add(new Decision.Revoked(running.revokeNext().demand().id()));
+    }
   }
 
-  private WaitingQueue queue(String service) {
-    return queues.computeIfAbsent(
-        service, key -> new WaitingQueue(rules.initialServiceTime().toNanos()));
+  private ServiceWork work(String service) {
+    return services.computeIfAbsent(
+        service,
+        key ->
+            new ServiceWork(
+                new WaitingQueue(rules.initialServiceTime().toNanos()), new RunningWork()));
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/state/fleet/FleetView.java
+++ b/server/src/main/java/org/trefoilbarrow/state/fleet/FleetView.java
@@ -20,6 +20,7 @@
   private long catalogRevision;
   private final Map<BackendServerId, BackendServer> backends = new LinkedHashMap<>();
   private Set<FailureDomainId> drainedDomains = ImmutableSet.of();
+  private long changeCount;
 
   /** Returns the newest configuration, if one has been applied. */
   public Optional<Catalog> catalog() {
@@ -37,6 +38,11 @@
     return true;
   }
 
+  /** Returns a number that grows with each change of backend servers or drained domains. */
+  public long changeCount() {
+    return changeCount;
+  }
+
   /** Returns all listed backend servers. */
   public Collection<BackendServer> backends() {
     return backends.values();
@@ -50,21 +56,25 @@
   /** Adds or replaces a backend server. */
   public void put(BackendServer backend) {
     backends.put(backend.id(), backend);
+    changeCount++;
   }
 
   /** Removes a backend server. */
   public void remove(BackendServerId id) {
     backends.remove(id);
+    changeCount++;
   }
 
   /** Removes all backend servers that are not among the given ones. */
   public void retainOnly(Set<BackendServerId> ids) {
     backends.keySet().retainAll(ids);
+    changeCount++;
   }
 
   /** Replaces the failure domains whose backend servers get no new requests. */
   public void setDrainedDomains(Set<FailureDomainId> domains) {
     drainedDomains = ImmutableSet.copyOf(domains);
+    changeCount++;
   }
 
   /** Returns whether a backend server may get new requests. */
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -309,4 +309,28 @@
         outcome.onTime() >= 0.97 * outcome.submitted(),
         outcome.onTime() + " of " + outcome.submitted() + " on time");
   }
+
+  /**
+   * After a long outage 20,000 late items wait while online requests come and go. With a cost of
+   * each decision that grows with the queue, this replay would take hours.
+   */
+  @Test
+  public void onlineRequestsAreServedBesideAnyNumberOfWaitingItems() {
+    for (int server = 0; server < 10; server++) {
+      backend("s" + server, 8, true, 0);
+    }
+    for (int item = 0; item < 20_000; item++) {
+      dispatcher.submit(item(0, 0), 0);
+    }
+    long start = 60 * SECOND;
+    long placed = 0;
+    for (int request = 0; request < 20_000; request++) {
+      long now = start + request * MILLI;
+      Demand demand = online(now, 300, false);
+      placed += count(dispatcher.submit(demand, now), Decision.Placed.class);
+      dispatcher.finished(demand.id(), PlacementResult.ANSWERED, now);
+    }
+    assertEquals(placed, 20_000);
+    assertEquals(dispatcher.waitingCount(), 20_000 - dispatcher.runningCount());
+  }
 }
