Read a body that is too large to its end before refusing it

Ruled out: the refusal itself, which was sent. Change: what is left of the body, up to 64 MB, is read and dropped first. RequestBodiesTest failed before (bytes left unread) and passes.

--- a/server/src/main/java/org/trefoilbarrow/transport/http/RequestBodies.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/http/RequestBodies.java
@@ -11,6 +11,12 @@
 
 /** Reads request bodies up to a maximum size. */
 final class RequestBodies {
+  /**
+   * How much of a body beyond its limit is read and dropped. Closing a connection with unread bytes
+   * resets it, and the caller, which still sends, would not get the response.
+   */
+  private static final long MAX_DROPPED_BYTES = 64L << 20;
+
   private RequestBodies() {}
 
   /**
@@ -22,6 +28,7 @@
     try {
       byte[] bytes = ByteStreams.limit(body, maxBytes + 1L).readAllBytes();
       if (bytes.length > maxBytes) {
+        ByteStreams.exhaust(ByteStreams.limit(body, MAX_DROPPED_BYTES));
         throw new ServiceException(
             ErrorKind.BODY_TOO_LARGE,
             "the request body is longer than the limit of %s bytes",
