Describe the terms of dispatch, and keep the messages of demands in one place

DemandMessages holds the conversion of demands from and to messages, which stood in PlacementClient and DispatchServer.

--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
@@ -29,7 +29,6 @@
 import org.trefoilbarrow.coordination.election.DispatchElection;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
-import org.trefoilbarrow.protocol.OrganisationId;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
 import org.trefoilbarrow.transport.link.generated.FinishedMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
@@ -46,7 +45,6 @@
 final class DispatchServer {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration BIND_RETRY_DELAY = Duration.ofMillis(300);
-  private static final long NANOS_IN_MILLI = 1_000_000;
 
   private final EventLoop loop;
   private final PeerAddress self;
@@ -252,24 +250,7 @@
         logger.atFine().log("link: a demand of %s is for a former term, dropping it", host);
         return;
       }
-      DemandId demandId = new DemandId(host, message.getCall());
-      Set<BackendServerId> excluded = new HashSet<>();
-      if (message.isSetExcluded()) {
-        message.getExcluded().forEach(backend -> excluded.add(BackendServerId.of(backend)));
-      }
-      Demand demand =
-          new Demand(
-              demandId,
-              message.getTarget(),
-              message.isSetOrganisation()
-                  ? Optional.of(OrganisationId.of(message.getOrganisation()))
-                  : Optional.empty(),
-              message.getPriority(),
-              message.isBatch(),
-              now + message.getObjectiveMillis() * NANOS_IN_MILLI,
-              now + message.getRemainingMillis() * NANOS_IN_MILLI,
-              message.isRepeated(),
-              excluded);
+      Demand demand = DemandMessages.toDemand(host, message, now);
       if (message.isSetRunningOn()) {
         dispatcher.registerRunning(demand, BackendServerId.of(message.getRunningOn()), now);
       } else {
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -44,7 +44,6 @@
 public final class PlacementClient {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
   private static final Duration STATE_LOG_INTERVAL = Duration.ofSeconds(1);
-  private static final long NANOS_IN_MILLI = 1_000_000;
 
   private final EventLoop loop;
   private final PeerAddress self;
@@ -333,7 +332,7 @@
     DemandSpec demand = call.demand;
     long now = nanoClock.getAsLong();
     if (dispatchingHost.remote().isEmpty()) {
-      Demand local = toDemand(localId(number), demand);
+      Demand local = DemandMessages.toDemand(localId(number), demand);
       if (call.backend.isPresent()) {
         dispatcher.registerRunning(local, call.backend.get(), now);
       } else {
@@ -341,38 +340,10 @@
       }
       return;
     }
-    DemandMessage message =
-        new DemandMessage(
-            number,
-            demand.service(),
-            demand.priority(),
-            demand.batch(),
-            (demand.objectiveNanos() - now) / NANOS_IN_MILLI,
-            (demand.deadlineNanos() - now) / NANOS_IN_MILLI,
-            0,
-            demand.repeated(),
-            demand.request());
-    demand.organisation().ifPresent(id -> message.setOrganisation(id.value()));
-    if (!demand.excluded().isEmpty()) {
-      message.setExcluded(demand.excluded().stream().map(BackendServerId::value).toList());
-    }
-    call.backend.ifPresent(backend -> message.setRunningOn(backend.value()));
+    DemandMessage message = DemandMessages.of(number, demand, call.backend, now);
     links.send(dispatchingHost.remote().get(), LinkMessage.demand(message));
   }
 
-  private static Demand toDemand(DemandId id, DemandSpec demand) {
-    return new Demand(
-        id,
-        demand.service(),
-        demand.organisation(),
-        demand.priority(),
-        demand.batch(),
-        demand.objectiveNanos(),
-        demand.deadlineNanos(),
-        demand.repeated(),
-        demand.excluded());
-  }
-
   private void receive(HostId from, LinkMessage message) {
     boolean isDecision = message.isSetPlaced() || message.isSetRefused() || message.isSetRevoked();
     if (isDecision && !isDispatchedBy(from)) {
--- a/server/src/main/java/org/trefoilbarrow/transport/link/package-info.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/package-info.java
@@ -4,7 +4,8 @@
  *
  * <p>Start at {@link org.trefoilbarrow.transport.link.PlacementClient}, which requests slots for
  * the work of a host, then read {@link org.trefoilbarrow.transport.link.DispatchServer}, which
- * serves such requests of other hosts, and {@link org.trefoilbarrow.transport.link.Link}. All
- * classes are used only on the event loop's thread.
+ * serves such requests of other hosts, and {@link org.trefoilbarrow.transport.link.Link}. {@link
+ * org.trefoilbarrow.transport.link.TermClaimer} takes over dispatch when the election decides so.
+ * All classes are used only on the event loop's thread.
  */
 package org.trefoilbarrow.transport.link;
