Start the console's logging without Dropwizard's layouts

Cause: of the start of a host, the bootstrap of Dropwizard's logging takes 0.1 s of wall time, mostly for a layout that no line of a host needs. Change: warnings go to logback's console appender as it comes.

--- a/server/src/main/java/org/trefoilbarrow/command/Main.java
+++ b/server/src/main/java/org/trefoilbarrow/command/Main.java
@@ -1,10 +1,10 @@
 package org.trefoilbarrow.command;
 
 import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import com.google.common.base.Supplier;
 import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableMap;
-import io.dropwizard.logging.common.BootstrapLogging;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -15,6 +15,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
+import org.slf4j.LoggerFactory;
 import org.trefoilbarrow.settings.SettingsException;
 
 /** The entry point of the command line. */
@@ -42,12 +43,21 @@
 
   /** Runs the command that the arguments name and exits with its code. */
   public static void main(String[] arguments) throws IOException, InterruptedException {
-    BootstrapLogging.bootstrap(Level.WARN);
+    limitLogging();
     PrintStream output = new PrintStream(System.out, true, StandardCharsets.UTF_8);
     PrintStream errors = new PrintStream(System.err, true, StandardCharsets.UTF_8);
     System.exit(run(arguments, output, errors).code());
   }
 
+  /**
+   * Leaves the console's logger at its default layout and logs warnings only. The commands that
+   * need more configure logging themselves; the layouts of Dropwizard would slow the start of a
+   * host.
+   */
+  private static void limitLogging() {
+    ((Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)).setLevel(Level.WARN);
+  }
+
   /** Runs the command that the arguments name. */
   static ExitCode run(String[] arguments, PrintStream output, PrintStream errors)
       throws IOException, InterruptedException {
