Tell the dispatching host that a backend server is leaving

Hosts that were sent there declined, and the dispatching host sent the next ones there again. Ruled out: slow watches of the others, which knew within 0.2 s.

Change: a host that declines a slot since it knows that the server is leaving or drained says so, and the dispatching host assigns no slot of that server for a second; a wrong report of a host with an outdated view costs no more than that. DispatcherTest has the decision.

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendLoad.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendLoad.java
@@ -1,7 +1,9 @@
 package org.trefoilbarrow.coordination.dispatch;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 /** The work placed at one backend server, and the server's recent failures. Not thread-safe. */
 final class BackendLoad {
@@ -11,6 +13,7 @@
   private int failures;
   private long penaltyUntilNanos = Long.MIN_VALUE;
   private boolean replaced;
+  private Optional<Long> reportedLeavingNanos = Optional.empty();
   private final Deque<Long> recentPlacements = new ArrayDeque<>();
 
   int running() {
@@ -65,4 +68,14 @@
   void replaced() {
     replaced = true;
   }
+
+  void reportedLeaving(long nowNanos) {
+    reportedLeavingNanos = Optional.of(nowNanos);
+  }
+
+  /** Returns whether a host reported within the given time that the server is leaving. */
+  boolean isReportedLeaving(long nowNanos, Duration validity) {
+    return reportedLeavingNanos.isPresent()
+        && nowNanos - reportedLeavingNanos.get() < validity.toNanos();
+  }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -96,6 +96,7 @@
       }
       BackendLoad load = load(backend.id());
       if (load.running() >= share.slotsOf(backend)
+          || load.isReportedLeaving(nowNanos, rules.leavingReportValidity())
           || isAtColdRateLimit(backend, load, fraction, nowNanos)) {
         continue;
       }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
@@ -19,6 +19,8 @@
  * @param penalty the time for which a backend server that failed gets only work that no other
  *     server has a slot for; doubled by each further failure
  * @param maxPenalty the longest penalty
+ * @param leavingReportValidity how long a server gets no work after a host reported that it is
+ *     leaving; short, since the report of a host with an outdated view is wrong
  * @param lostHostRetention how long the slots of an unresponsive host count as in use
  */
 public record DispatchRules(
@@ -30,6 +32,7 @@
     double coldRateFraction,
     Duration penalty,
     Duration maxPenalty,
+    Duration leavingReportValidity,
     Duration lostHostRetention) {
   /** The default rules. */
   public static final DispatchRules DEFAULT =
@@ -42,5 +45,6 @@
           0.8,
           Duration.ofMillis(500),
           Duration.ofSeconds(4),
+          Duration.ofSeconds(1),
           Duration.ofSeconds(2));
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -225,6 +225,7 @@
       }
       case FAILED, STALLED, NOT_RUN -> load.failed(nowNanos, rules);
       case REPLACED -> load.replaced();
+      case LEAVING -> load.reportedLeaving(nowNanos);
       case CANCELLED -> {}
     }
   }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/PlacementResult.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/PlacementResult.java
@@ -13,5 +13,7 @@
   /** The backend server sent nothing for longer than the stall timeout. */
   STALLED,
   /** The caller disconnected, or the work was interrupted. */
-  CANCELLED
+  CANCELLED,
+  /** The work was not sent, since its host knows that the backend server is leaving or drained. */
+  LEAVING
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -378,8 +378,7 @@
     if (backend.filter(fleet::isUsable).isEmpty()) {
       // This host does not know the backend server yet, or knows before the dispatching host that
       // it is leaving, gone or in a drained domain.
-      calls.remove(number);
-      report(number, PlacementResult.CANCELLED);
+      report(number, backend.isPresent() ? PlacementResult.LEAVING : PlacementResult.CANCELLED);
       Call retry = new Call(call.demand.excluding(id), call.listener);
       calls.put(number, retry);
       submitToDispatchingHost(number, retry);
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -244,6 +244,22 @@
     assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Refused.class), 1);
   }
 
+  /** A dispatching host that the platform refuses learns only from others that a server leaves. */
+  @Test
+  public void submit_avoidsServerForAWhileAfterAHostReportedThatItLeaves() {
+    backend("a", 4, true, 0);
+    Demand declined = online(0, 300, false);
+    dispatcher.submit(declined, 0);
+    dispatcher.finished(declined.id(), PlacementResult.LEAVING, 0);
+    assertEquals(count(dispatcher.submit(item(0, 60_000), 0), Decision.Placed.class), 0);
+    backend("b", 4, true, 0);
+    Decision.Placed placed =
+        (Decision.Placed) dispatcher.submit(online(0, 300, false), 100 * MILLI).get(0);
+    assertEquals(placed.backend(), BackendServerId.of("b"));
+    // The report may have been wrong; the next host that is sent there reports again.
+    assertEquals(count(dispatcher.submit(item(0, 60_000), 2 * SECOND), Decision.Placed.class), 1);
+  }
+
   @Test
   public void submit_prefersServersThatDidNotFail() {
     backend("a", 4, true, 0);
