--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
@@ -99,6 +98,17 @@
 
   private static final int PLATFORM_THREADS = 4;
 
+  private static final ImmutableList<ObjectKind> WATCHED_BY_ALL_HOSTS =
+      ImmutableList.of(
+          ObjectKind.CONFIGURATION,
+          ObjectKind.BACKEND_SERVER,
+          ObjectKind.DRAINED_DOMAIN,
+          ObjectKind.HOST);
+
+  private static final ImmutableList<ObjectKind> WATCHED_FOR_JOBS =
+      ImmutableList.of(
+          ObjectKind.JOB, ObjectKind.RESULT, ObjectKind.JOB_END, ObjectKind.HOST_REMOVAL);
+
   private final FleetHostSettings settings;
   private final PlatformAdapter adapter;
   private final LongSupplier nanoClock;
@@ -110,7 +120,7 @@
   private final EventLoop loop = eventLoopGroup.next();
   private final FleetView fleet = new FleetView();
   private final ExecutorService executor = newDaemonThreadPool(PLATFORM_THREADS);
-  private final AtomicInteger readCollectionCount = new AtomicInteger();
+  private final CollectionReads collectionReads;
   private final Map<String, PeerAddress> peers = new HashMap<>();
   private final Set<String> drainedDomains = new HashSet<>();
   private final PlatformAdapter.ConnectedPlatform platform;
@@ -124,7 +134,6 @@
   private final long startNanos;
   private Optional<Ingress> ingress = Optional.empty();
   private Optional<JobRunner> runner = Optional.empty();
-  private int watchedCollectionCount;
   private volatile boolean leaving;
   private volatile double shutdownSeconds;
 
@@ -141,6 +150,7 @@
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.milliClock = checkNotNull(milliClock, "milliClock");
     this.startNanos = nanoClock.getAsLong();
+    this.collectionReads = new CollectionReads(watchedKinds(settings.servesCallers()));
     this.shutdownSeconds = settings.shutdownSeconds();
     this.platform =
         adapter.connect(settings.platform(), settings.platformCallsPerSecond(), nanoClock);
@@ -304,7 +314,7 @@
   }
 
   private boolean hasReadAllCollections() {
-    return readCollectionCount.get() >= watchedCollectionCount;
+    return collectionReads.hasReadAll();
   }
 
   private void updateReadiness() {
@@ -315,13 +325,22 @@
     ingress.ifPresent(found -> found.setReady(ready));
   }
 
+  private static ImmutableList<ObjectKind> watchedKinds(boolean servesCallers) {
+    return servesCallers
+        ? WATCHED_BY_ALL_HOSTS
+        : ImmutableList.<ObjectKind>builder()
+            .addAll(WATCHED_BY_ALL_HOSTS)
+            .addAll(WATCHED_FOR_JOBS)
+            .build();
+  }
+
   private void watchFleet() {
     BackendServerWatcher backends =
         new BackendServerWatcher(
             loop, fleet, adapter.decoder(), log, nanoClock, placements::onFleetChanged);
     ImmutableList.Builder<CollectionWatcher> watchers = ImmutableList.builder();
     ObjectWatchers objectWatchers =
-        new ObjectWatchers(platform, loop, LONG_POLL_TIMEOUT, readCollectionCount::incrementAndGet);
+        new ObjectWatchers(platform, loop, LONG_POLL_TIMEOUT, collectionReads::onRead);
     watchers.add(objectWatchers.of(ObjectKind.CONFIGURATION, this::onConfiguration, name -> {}));
     watchers.add(
         new CollectionWatcher(
@@ -329,7 +348,7 @@
             ObjectKind.BACKEND_SERVER,
             page -> {
               backends.onSnapshot(page);
-              readCollectionCount.incrementAndGet();
+              collectionReads.onRead(ObjectKind.BACKEND_SERVER);
             },
             backends::onChanges,
             backends::onOutage,
@@ -357,9 +376,7 @@
       watchers.add(
           objectWatchers.of(ObjectKind.HOST_REMOVAL, this::onRemovalRequested, name -> {}));
     }
-    ImmutableList<CollectionWatcher> all = watchers.build();
-    watchedCollectionCount = all.size();
-    all.forEach(CollectionWatcher::start);
+    watchers.build().forEach(CollectionWatcher::start);
     new PlatformProbe(
             platform::probe,
             () -> log.add("platform", "lost"),
--- a/server/src/main/java/org/trefoilbarrow/command/ObjectWatchers.java
+++ b/server/src/main/java/org/trefoilbarrow/command/ObjectWatchers.java
@@ -20,18 +20,19 @@
   private final Platform platform;
   private final EventLoop loop;
   private final Duration watchWait;
-  private final Runnable onFirstRead;
+  private final Consumer<ObjectKind> onRead;
 
   /**
    * Creates a factory of watchers.
    *
-   * @param onFirstRead runs on the loop after a collection was read for the first time
+   * @param onRead runs on the loop after each read of a whole collection
    */
-  ObjectWatchers(Platform platform, EventLoop loop, Duration watchWait, Runnable onFirstRead) {
+  ObjectWatchers(
+      Platform platform, EventLoop loop, Duration watchWait, Consumer<ObjectKind> onRead) {
     this.platform = checkNotNull(platform, "platform");
     this.loop = checkNotNull(loop, "loop");
     this.watchWait = checkNotNull(watchWait, "watchWait");
-    this.onFirstRead = checkNotNull(onFirstRead, "onFirstRead");
+    this.onRead = checkNotNull(onRead, "onRead");
   }
 
   /** Returns a watcher that is not started yet, without a delay between changes and next watch. */
@@ -52,7 +53,7 @@
       Consumer<VersionedObject> onPut,
       Consumer<String> onDelete,
       Duration delayAfterChanges) {
-    ObjectTracker tracker = new ObjectTracker(onPut, onDelete);
+    ObjectTracker tracker = new ObjectTracker(kind, onPut, onDelete);
     return new CollectionWatcher(
         platform,
         kind,
@@ -64,12 +65,13 @@
   }
 
   private final class ObjectTracker {
+    private final ObjectKind kind;
     private final Consumer<VersionedObject> onPut;
     private final Consumer<String> onDelete;
     private final Set<String> knownNames = new HashSet<>();
-    private boolean wasRead;
 
-    ObjectTracker(Consumer<VersionedObject> onPut, Consumer<String> onDelete) {
+    ObjectTracker(ObjectKind kind, Consumer<VersionedObject> onPut, Consumer<String> onDelete) {
+      this.kind = checkNotNull(kind, "kind");
       this.onPut = checkNotNull(onPut, "onPut");
       this.onDelete = checkNotNull(onDelete, "onDelete");
     }
@@ -81,10 +83,7 @@
         put(object);
       }
       deleted.forEach(this::delete);
-      if (!wasRead) {
-        wasRead = true;
-        onFirstRead.run();
-      }
+      onRead.accept(kind);
     }
 
     void onChanges(ChangeBatch batch) {
--- a/server/src/main/java/org/trefoilbarrow/coordination/backend/BackendState.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/backend/BackendState.java
@@ -10,6 +10,9 @@
  * use. Guarded by the lock of {@link PermitScheduler}.
  */
 final class BackendState {
+  /** Enough to reach the longest backoff; more could overflow. */
+  private static final int MAX_BACKOFF_DOUBLINGS = 10;
+
   private final PermitRules rules;
   private BackendDefinition definition;
   private Temperature temperature = Temperature.PROBING;
@@ -163,6 +166,7 @@
         }
       }
       case WARMING, UNREACHABLE -> {
+        consecutiveFailures++;
         setTemperature(Temperature.PROBING, nowNanos);
         backOff(nowNanos);
       }
@@ -212,8 +216,8 @@
   }
 
   private void backOff(long nowNanos) {
-    consecutiveFailures++;
-    long delayNanos = rules.retryAfter().toNanos() << Math.min(consecutiveFailures, 10);
+    int doublings = Math.min(consecutiveFailures - 1, MAX_BACKOFF_DOUBLINGS);
+    long delayNanos = rules.retryAfter().toNanos() << doublings;
     notBeforeNanos = nowNanos + Math.min(delayNanos, rules.maxRetryAfter().toNanos());
   }
 
--- a/server/src/main/java/org/trefoilbarrow/protocol/ErrorKind.java
+++ b/server/src/main/java/org/trefoilbarrow/protocol/ErrorKind.java
@@ -25,6 +25,7 @@
   NO_BACKEND_SERVER(503, NOT_RUN, "no_backend_server"),
   PLATFORM_UNAVAILABLE(503, NOT_RUN, "platform_unavailable"),
   HOST_ISOLATED(503, NOT_RUN, "host_isolated"),
+  HOST_NOT_READY(503, NOT_RUN, "host_not_ready"),
   SHUTTING_DOWN(503, NOT_RUN, "shutting_down"),
   KEY_WITHDRAWN_IN_PROGRESS(401, MAY_HAVE_RUN, "key_withdrawn"),
   OUTCOME_UNKNOWN(409, MAY_HAVE_RUN, "outcome_unknown"),
--- a/server/src/main/java/org/trefoilbarrow/settings/SettingsLoader.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/SettingsLoader.java
@@ -43,7 +43,7 @@
   /**
    * Reads the settings from a file and adds the defaults.
    *
-   * @throws SettingsException if the file does not exist or has errors
+   * @throws SettingsException if the file does not exist, is not readable or has errors
    */
   public static Settings load(Path file) {
     return parse(file.toString(), readText(file));
@@ -78,10 +78,16 @@
       throw new SettingsException(
           ImmutableList.of(new SettingsError(file.toString(), 0, "", "file does not exist")));
     } catch (IOException e) {
-      throw new UncheckedIOException(String.format("file \"%s\" is not readable", file), e);
+      throw new SettingsException(
+          ImmutableList.of(
+              new SettingsError(file.toString(), 0, "", "file is not readable: " + describe(e))));
     }
   }
 
+  private static String describe(IOException error) {
+    return error.getMessage() == null ? error.getClass().getSimpleName() : error.getMessage();
+  }
+
   private static JsonNode readTree(String source, String text) {
     try {
       return reader().readTree(text, InputFormat.JSON);
--- a/server/src/main/java/org/trefoilbarrow/state/CollectionReader.java
+++ b/server/src/main/java/org/trefoilbarrow/state/CollectionReader.java
@@ -13,7 +13,7 @@
    * Returns all objects of a kind whose names begin with a prefix.
    *
    * @return the objects, and the revision of the first page
-   * @throws PlatformException if a call fails
+   * @throws PlatformException if a call fails, or a page leaves open how to continue
    */
   public static ObjectPage readAll(Platform platform, ObjectKind kind, String prefix) {
     ImmutableList.Builder<VersionedObject> objects = ImmutableList.builder();
@@ -22,6 +22,14 @@
     objects.addAll(page.objects());
     while (!page.complete()) {
       List<VersionedObject> previous = page.objects();
+      if (previous.isEmpty()) {
+        throw new PlatformException(
+            String.format(
+                "the page of %s at revision %s is empty, though more objects are said to follow",
+                kind.collection(), page.revision()),
+            null,
+            true);
+      }
       page = platform.list(kind, prefix, previous.get(previous.size() - 1).name(), PAGE_SIZE);
       objects.addAll(page.objects());
     }
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -281,7 +281,7 @@
     }
     Optional<Catalog> catalog = services.fleet().catalog();
     if (catalog.isEmpty()) {
-      response.refuse(ErrorKind.HOST_ISOLATED, UNAVAILABLE_RETRY_DELAY.toMillis());
+      response.refuse(ErrorKind.HOST_NOT_READY, UNAVAILABLE_RETRY_DELAY.toMillis());
       return;
     }
     if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
--- a/server/src/main/java/org/trefoilbarrow/transport/http/HostServingState.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/http/HostServingState.java
@@ -64,7 +64,7 @@
   void checkServing() {
     if (!ready.get()) {
       throw new ServiceException(
-          ErrorKind.HOST_ISOLATED,
+          ErrorKind.HOST_NOT_READY,
           "the host is not ready: it has not received the configuration yet");
     }
     if (stopped.get()) {
--- a/server/src/test/java/org/trefoilbarrow/settings/SettingsLoaderTest.java
+++ b/server/src/test/java/org/trefoilbarrow/settings/SettingsLoaderTest.java
@@ -4,6 +4,9 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -69,6 +72,25 @@
     assertTrue(error.toString().contains(expectedText), error.toString());
   }
 
+  @DataProvider
+  public Object[][] unreadableFiles() throws IOException {
+    Path folder = Files.createTempDirectory("settings");
+    Path notText = Files.write(folder.resolve("not-text.json"), new byte[] {(byte) 0xff});
+    return new Object[][] {
+      {folder.resolve("absent.json"), "does not exist"},
+      {folder, "is not readable"},
+      {notText, "is not readable"},
+    };
+  }
+
+  @Test(dataProvider = "unreadableFiles")
+  public void load_reportsAFileThatCannotBeRead(Path file, String expectedText) {
+    SettingsException exception =
+        expectThrows(SettingsException.class, () -> SettingsLoader.load(file));
+    assertTrue(exception.getMessage().contains(file.toString()), exception.getMessage());
+    assertTrue(exception.getMessage().contains(expectedText), exception.getMessage());
+  }
+
   @Test
   public void parse_reportsAllErrorsAtOnce() {
     String text = VALID.replace("host-1", "Host").replace("9000", "x").replace(DIGEST, "y");
