--- a/server/src/test/java/org/trefoilbarrow/coordination/election/DispatchElectionTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/DispatchElectionTest.java
@@ -167,7 +167,7 @@
     for (long seed = 1; seed <= seeds(candidates, callers); seed++) {
       FleetSimulation fleet = start(candidates, callers, seed);
       fleet.runWithCalls(1000, load(fleet));
-      SimulatedHost lost = fleet.holder().orElseThrow();
+      final SimulatedHost lost = fleet.holder().orElseThrow();
       inject.accept(fleet);
       fleet.runWithCalls(maxMillisWithoutHolder(candidates) + 500, load(fleet));
       assertEquals(fleet.termNumber(), 2, name + ", seed " + seed);
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
@@ -225,7 +225,7 @@
     if (next.equals(followed) && term == followedTerm) {
       return;
     }
-    boolean wasHolder = isHolderNow();
+    final boolean wasHolder = isHolderNow();
     Optional<HostId> previous = followed.filter(host -> !host.equals(id));
     if (previous.isPresent()) {
       sendHello(previous.get());
