Record the outcome of a call that may not be repeated at any size

Cause: a response of over 512 KiB was not recorded, since the record must fit in one object of the platform, so that each repeat failed with outcome_unknown although the outcome was known. Change: the encoded body is cut into parts of 700,000 characters; all but the first are objects of their own, written before the record that names their number. RecordedCalls takes the sender of calls as a function, so that it can be tested alone.

--- a/server/src/main/java/org/trefoilbarrow/command/HostModule.java
+++ b/server/src/main/java/org/trefoilbarrow/command/HostModule.java
@@ -354,7 +354,7 @@
       ConfirmedWrites writes,
       OnlineDispatcher dispatcher,
       @Named("seconds") LongSupplier secondsClock) {
-    return new RecordedCalls(platform, writes, dispatcher, secondsClock);
+    return new RecordedCalls(platform, writes, dispatcher::call, secondsClock);
   }
 
   @Provides
--- a/server/src/main/java/org/trefoilbarrow/protocol/CallRecord.java
+++ b/server/src/main/java/org/trefoilbarrow/protocol/CallRecord.java
@@ -19,9 +19,10 @@
    *
    * @param status the HTTP status
    * @param contentType the content type, or null if the response had none
-   * @param body the body, encoded as base64
+   * @param body the body, encoded as base64, or its first part
+   * @param furtherParts the number of further parts of the encoded body, in objects of their own
    */
-  public record Outcome(int status, @Nullable String contentType, String body) {}
+  public record Outcome(int status, @Nullable String contentType, String body, int furtherParts) {}
 
   /** Returns the intent to make a call. */
   public static CallRecord intent(String requestDigest, String attempt, long nowSeconds) {
--- a/server/src/main/java/org/trefoilbarrow/transport/backend/RecordedCalls.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/backend/RecordedCalls.java
@@ -3,8 +3,10 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.base.Joiner;
+import com.google.common.base.Splitter;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.io.BaseEncoding;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -32,26 +34,37 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_WRITE_ATTEMPTS = 3;
   private static final int MAX_OUTCOME_WRITE_ATTEMPTS = 10;
-  private static final int MAX_RECORDED_BYTES = 512 << 10;
+
+  /** The most characters of a body in one object, below the platform's limit for a value. */
+  private static final int MAX_PART_CHARACTERS = 700_000;
 
   private final Platform platform;
   private final ConfirmedWrites writes;
-  private final OnlineDispatcher dispatcher;
+  private final CallSender sender;
   private final LongSupplier secondsClock;
 
+  /** Sends a call to a backend server, and returns its response. */
+  @FunctionalInterface
+  public interface CallSender {
+    /**
+     * Sends a call.
+     *
+     * @param onSending receives an action that aborts the attempt, before each attempt
+     * @throws ServiceException if the call failed
+     */
+    FullResponse call(OnlineCall call, Consumer<Runnable> onSending) throws InterruptedException;
+  }
+
   /**
-   * Creates an instance that sends calls through the given dispatcher.
+   * Creates an instance that sends calls through the given sender.
    *
    * @param secondsClock the time of day, in seconds since the epoch
    */
   public RecordedCalls(
-      Platform platform,
-      ConfirmedWrites writes,
-      OnlineDispatcher dispatcher,
-      LongSupplier secondsClock) {
+      Platform platform, ConfirmedWrites writes, CallSender sender, LongSupplier secondsClock) {
     this.platform = checkNotNull(platform, "platform");
     this.writes = checkNotNull(writes, "writes");
-    this.dispatcher = checkNotNull(dispatcher, "dispatcher");
+    this.sender = checkNotNull(sender, "sender");
     this.secondsClock = checkNotNull(secondsClock, "secondsClock");
   }
 
@@ -84,7 +97,7 @@
       OnlineCall call, String name, CallRecord intent, long version, Consumer<Runnable> onSending)
       throws InterruptedException {
     try {
-      FullResponse response = dispatcher.call(call, onSending);
+      FullResponse response = sender.call(call, onSending);
       record(name, version, intent, response);
       return response;
     } catch (ServiceException e) {
@@ -96,25 +109,35 @@
   }
 
   private void record(String name, long version, CallRecord intent, FullResponse response) {
-    if (response.body().length > MAX_RECORDED_BYTES) {
-      logger.atWarning().log(
-          "calls: outcome of %s not recorded: body of %s bytes, limit %s; repeated calls fail",
-          name, response.body().length, MAX_RECORDED_BYTES);
-      return;
+    List<String> parts =
+        Splitter.fixedLength(MAX_PART_CHARACTERS)
+            .splitToList(BaseEncoding.base64().encode(response.body()));
+    for (int part = 1; part < parts.size(); part++) {
+      String value = JsonCodec.encode(parts.get(part));
+      if (!writeOutcome(name, partName(name, intent, part), Platform.ABSENT, value)) {
+        return;
+      }
     }
     CallRecord.Outcome outcome =
         new CallRecord.Outcome(
-            response.status(),
-            response.contentType(),
-            BaseEncoding.base64().encode(response.body()));
-    String value = JsonCodec.encode(intent.withOutcome(outcome));
+            response.status(), response.contentType(), parts.get(0), parts.size() - 1);
+    writeOutcome(name, name, version, JsonCodec.encode(intent.withOutcome(outcome)));
+  }
+
+  private boolean writeOutcome(String call, String name, long version, String value) {
     WriteOutcome written =
         writes.write(ObjectKind.CALL, name, version, value, MAX_OUTCOME_WRITE_ATTEMPTS);
     if (!written.isApplied()) {
       logger.atWarning().log(
           "calls: outcome of %s not recorded: write %s; repeated calls fail",
-          name, written.result());
+          call, written.result());
     }
+    return written.isApplied();
+  }
+
+  /** Returns the name of a part, which no other intent of the same call writes. */
+  private static String partName(String name, CallRecord intent, int part) {
+    return name + "." + intent.attempt() + "." + part;
   }
 
   /** Removes the intent of a call that certainly did not run, so that a repeated call may run. */
@@ -129,7 +152,7 @@
   }
 
   private FullResponse recordedOutcome(String name, String digest) {
-    CallRecord record = read(name);
+    CallRecord record = JsonCodec.decode(read(name), CallRecord.class);
     if (!record.requestDigest().equals(digest)) {
       throw new ServiceException(
           ErrorKind.IDEMPOTENCY_KEY_REUSED, "the idempotency key belongs to another request");
@@ -140,15 +163,19 @@
           "the call with this idempotency key may have run; its outcome is not known");
     }
     CallRecord.Outcome outcome = record.outcome();
+    StringBuilder body = new StringBuilder(outcome.body());
+    for (int part = 1; part <= outcome.furtherParts(); part++) {
+      body.append(JsonCodec.decode(read(partName(name, record, part)), String.class));
+    }
     return new FullResponse(
-        outcome.status(), outcome.contentType(), BaseEncoding.base64().decode(outcome.body()));
+        outcome.status(), outcome.contentType(), BaseEncoding.base64().decode(body));
   }
 
-  private CallRecord read(String name) {
+  private String read(String name) {
     try {
       Optional<VersionedObject> found = platform.read(ObjectKind.CALL, name);
       if (found.isPresent()) {
-        return JsonCodec.decode(found.get().value(), CallRecord.class);
+        return found.get().value();
       }
     } catch (PlatformException e) {
       throw new ServiceException(
