Refuse new requests in the second half of a shutdown

A host that got SIGTERM at 23.795 s took a request at 30.577 s, since the balancer had no other host of that failure domain, and ended 0.9 s later in the middle of the response. Ruled out: a connection that was kept open; each is closed after its next response from the SIGTERM on.

Change: DrainSchedule holds the steps of a shutdown, which stood in FleetHost, and one more: from half of the time on new requests are refused as shutting_down, not run, with the time to come back, so that what runs has the other half to end.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -24,6 +24,7 @@
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
+import org.trefoilbarrow.coordination.drain.DrainSchedule;
 import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.JsonCodec;
@@ -87,15 +88,9 @@
   /** How often the readiness is updated, and the end of a shutdown is checked. */
   private static final Duration READINESS_CHECK_INTERVAL = Duration.ofMillis(50);
 
-  /** How long new connections still arrive after a host reported that it is not ready. */
-  private static final Duration UNREADY_GRACE_PERIOD = Duration.ofMillis(2600);
-
   /** How long a dispatching host that leaves waits for the next one. */
   private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(1);
 
-  /** The part of the shutdown time that is reserved for the exit of the process. */
-  private static final Duration EXIT_MARGIN = Duration.ofMillis(500);
-
   private static final int PLATFORM_THREADS = 4;
 
   private static final ImmutableList<ObjectKind> WATCHED_BY_ALL_HOSTS =
@@ -233,15 +228,16 @@
     leaving = true;
     log.add("host", "stop", "host", self.host());
     long stopStartNanos = nanoClock.getAsLong();
-    long limitNanos = Duration.ofMillis((long) (shutdownSeconds * 1000)).toNanos();
+    DrainSchedule drain =
+        DrainSchedule.of(stopStartNanos, Duration.ofMillis((long) (shutdownSeconds * 1000)));
     loop.execute(
         () -> {
           placements.leave();
-          ingress.ifPresent(Ingress::startDraining);
+          ingress.ifPresent(found -> found.startDraining(drain));
           runner.ifPresent(JobRunner::stop);
         });
-    while (nanoClock.getAsLong() - stopStartNanos < limitNanos - EXIT_MARGIN.toNanos()) {
-      if (loop.submit(() -> isDrained(stopStartNanos)).syncUninterruptibly().getNow()) {
+    while (!drain.isOver(nanoClock.getAsLong())) {
+      if (loop.submit(() -> isDrained(drain, stopStartNanos)).syncUninterruptibly().getNow()) {
         break;
       }
       try {
@@ -254,12 +250,12 @@
     log.add("host", "end", "host", self.host());
   }
 
-  private boolean isDrained(long stopStartNanos) {
+  private boolean isDrained(DrainSchedule drain, long stopStartNanos) {
     if (ingress.isEmpty()) {
       return !placements.isDispatching()
           || nanoClock.getAsLong() - stopStartNanos > HANDOVER_TIMEOUT.toNanos();
     }
-    if (nanoClock.getAsLong() - stopStartNanos < UNREADY_GRACE_PERIOD.toNanos()) {
+    if (!drain.closesIdleConnections(nanoClock.getAsLong())) {
       return false;
     }
     ingress.get().closeIdleConnections();
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -45,6 +45,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.trefoilbarrow.coordination.drain.DrainSchedule;
 import org.trefoilbarrow.protocol.ErrorKind;
 import org.trefoilbarrow.protocol.ErrorResponse;
 import org.trefoilbarrow.protocol.JobId;
@@ -85,7 +86,7 @@
   private final Set<ForwardedCall> calls = new HashSet<>();
   private final Map<String, Long> longestDeadlines = new HashMap<>();
   private boolean ready;
-  private boolean draining;
+  private Optional<DrainSchedule> drain = Optional.empty();
 
   /** Creates an ingress that does not listen yet. */
   public Ingress(ForwardServices services, JobGateway jobs, LongSupplier milliClock) {
@@ -115,12 +116,20 @@
     this.ready = ready;
   }
 
-  /** Fails readiness checks from now on and closes each connection after its next response. */
-  public void startDraining() {
-    draining = true;
+  /**
+   * Fails readiness checks from now on, closes each connection after its next response, and refuses
+   * new requests when the schedule says so.
+   */
+  public void startDraining(DrainSchedule schedule) {
+    drain = Optional.of(schedule);
     ready = false;
   }
 
+  private boolean refusesNewRequests() {
+    long now = services.nanoClock().getAsLong();
+    return drain.isPresent() && !drain.get().acceptsRequests(now);
+  }
+
   /** Closes the connections that have no request in progress. */
   public void closeIdleConnections() {
     for (Connection connection : ImmutableList.copyOf(connections)) {
@@ -279,6 +288,10 @@
           Unpooled.EMPTY_BUFFER);
       return;
     }
+    if (refusesNewRequests()) {
+      response.refuse(ErrorKind.SHUTTING_DOWN, UNAVAILABLE_RETRY_DELAY.toMillis());
+      return;
+    }
     Optional<Catalog> catalog = services.fleet().catalog();
     if (catalog.isEmpty()) {
       response.refuse(ErrorKind.HOST_NOT_READY, UNAVAILABLE_RETRY_DELAY.toMillis());
@@ -571,7 +584,7 @@
     }
 
     private void announceClose(HttpHeaders headers) {
-      closeAfter |= draining;
+      closeAfter |= drain.isPresent();
       if (closeAfter) {
         headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       }
