Name the contact with a dispatching host by heartbeats and reach

Comments, names and pages of the election said that hosts hear each other; they now say that hosts receive heartbeats or reach each other, and the waits before a claim are timeouts. The field of the heartbeat message keeps its number. No behaviour changes.

--- a/server/src/main/java/org/trefoilbarrow/coordination/election/DispatchElection.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/election/DispatchElection.java
@@ -16,10 +16,10 @@
  *
  * <ul>
  *   <li>A term ends only when the platform's record names the next one. A host follows the holder
- *       of the newest term that it knows while it hears that holder, and nobody otherwise. It stays
- *       with the term before for the moment until it hears the new holder.
- *   <li>A candidate takes over only when neither it nor any host that it reaches hears the holder.
- *       A candidate that reaches less than half of the hosts waits longer.
+ *       of the newest term that it knows while it receives heartbeats of that holder, and nobody
+ *       otherwise. It stays with the term before until it reaches the new holder.
+ *   <li>A candidate takes over only when neither it nor any host in contact with it reaches the
+ *       holder. A candidate that reaches less than half of the hosts waits longer.
  *   <li>Candidates wait by rank, so that usually one tries; the conditional write of the record
  *       admits one at most.
  *   <li>A holder that leaves, or that has not reached the platform for long while a candidate does,
@@ -46,10 +46,10 @@
 
   /** How certain it is that a term's holder no longer dispatches. */
   private enum Vacancy {
-    /** The holder is heard. */
+    /** Some host reaches the holder. */
     HELD,
-    /** No reachable host hears the holder. */
-    UNHEARD,
+    /** No host in contact with this one reaches the holder. */
+    UNREACHABLE,
     /** There is no term, or its holder resigned or has restarted. */
     ENDED
   }
@@ -92,7 +92,7 @@
     reports.put(peer, report);
   }
 
-  /** Records that a peer is not heard any more. */
+  /** Records that heartbeats of a peer have timed out. */
   public void lose(HostId peer) {
     reports.remove(peer);
   }
@@ -122,14 +122,14 @@
   }
 
   /** Returns whether this host must try to take over now. */
-  public boolean mustStand(long nowNanos) {
+  public boolean mustClaim(long nowNanos) {
     if (!candidate || vacantSinceNanos.isEmpty()) {
       return false;
     }
     if (nextAttemptNanos.isPresent() && nowNanos - nextAttemptNanos.get() < 0) {
       return false;
     }
-    return nowNanos - vacantSinceNanos.get() >= delayBeforeStandingNanos();
+    return nowNanos - vacantSinceNanos.get() >= claimDelayNanos();
   }
 
   /** Records an attempt to take over that the platform did not confirm. */
@@ -154,7 +154,7 @@
 
   /** Returns the term whose holder dispatches for this host; empty if nobody does. */
   public Optional<DispatchTerm> followed(long nowNanos) {
-    if (hearsHolder()) {
+    if (reachesHolder()) {
       return term;
     }
     boolean newHolderIsLive = term.isPresent() && reports.containsKey(term.get().holder());
@@ -165,10 +165,10 @@
 
   /** Returns what this host tells its peers. */
   public TermReport ownReport() {
-    return new TermReport(term, hearsHolder(), isResigned(), candidate);
+    return new TermReport(term, reachesHolder(), isResigned(), candidate);
   }
 
-  private boolean hearsHolder() {
+  private boolean reachesHolder() {
     if (term.isEmpty()) {
       return false;
     }
@@ -191,8 +191,8 @@
     if (holder.equals(self) || hasEnded(reports.get(holder))) {
       return Vacancy.ENDED;
     }
-    boolean heard = reports.values().stream().anyMatch(report -> report.confirms(term.get()));
-    return heard ? Vacancy.HELD : Vacancy.UNHEARD;
+    boolean reached = reports.values().stream().anyMatch(report -> report.confirms(term.get()));
+    return reached ? Vacancy.HELD : Vacancy.UNREACHABLE;
   }
 
   /** Returns whether the holder's host itself reports that it does not dispatch any longer. */
@@ -200,10 +200,10 @@
     if (ofHolder == null || !ofHolder.isAbout(term.get())) {
       return false;
     }
-    return ofHolder.resigned() || !ofHolder.hearsHolder();
+    return ofHolder.resigned() || !ofHolder.reachesHolder();
   }
 
-  private long delayBeforeStandingNanos() {
+  private long claimDelayNanos() {
     long rank =
         reports.entrySet().stream()
             .filter(entry -> entry.getValue().candidate())
@@ -214,6 +214,7 @@
       return delayNanos;
     }
     boolean reachesHalf = 2 * reports.size() >= otherHostCount;
-    return delayNanos + (reachesHalf ? rules.silence() : rules.isolatedSilence()).toNanos();
+    return delayNanos
+        + (reachesHalf ? rules.holderTimeout() : rules.isolatedHolderTimeout()).toNanos();
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/election/ElectionRules.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/election/ElectionRules.java
@@ -5,22 +5,22 @@
 /**
  * The times that an election applies.
  *
- * @param silence how long no reachable host hears the holder before a candidate takes over; longer
- *     than a lost connection needs to be replaced
- * @param isolatedSilence the same for a candidate that reaches less than half of the hosts, which
- *     may itself be the one that is cut off
+ * @param holderTimeout how long no host in contact with a candidate reaches the holder before the
+ *     candidate takes over; longer than a lost connection needs to be replaced
+ * @param isolatedHolderTimeout the same for a candidate that reaches less than half of the hosts,
+ *     which may itself be the one that is cut off
  * @param rankStep the further wait of a candidate for each candidate of a lower rank, so that they
  *     do not compete
  * @param retryDelay the delay after an attempt that the platform did not confirm
  * @param maxHolderOutage how long a holder without the platform continues before it resigns; its
  *     knowledge of backend servers ages meanwhile
- * @param settleTime how long a host stays with the former holder until it hears the new one
+ * @param settleTime how long a host stays with the former holder until it reaches the new one
  * @param reportWindow how long a new holder leaves the slots of hosts that have not reported their
  *     running work unused
  */
 public record ElectionRules(
-    Duration silence,
-    Duration isolatedSilence,
+    Duration holderTimeout,
+    Duration isolatedHolderTimeout,
     Duration rankStep,
     Duration retryDelay,
     Duration maxHolderOutage,
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchingHost.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchingHost.java
@@ -9,7 +9,7 @@
 /**
  * The host that dispatches for this one, in one term.
  *
- * @param host the dispatching host, which may be this one; empty if this host hears none and
+ * @param host the dispatching host, which may be this one; empty if this host reaches none and
  *     dispatches for itself alone
  * @param isSelf whether this host dispatches, for all hosts
  * @param term the number of the term; 0 without a dispatching host
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Heartbeats.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Heartbeats.java
@@ -46,7 +46,7 @@
     }
     TermReportMessage message = heartbeat.getReport();
     return new TermReport(
-        termOf(message), message.isHearsHolder(), message.isResigned(), message.isCandidate());
+        termOf(message), message.isReachesHolder(), message.isResigned(), message.isCandidate());
   }
 
   private static Optional<DispatchTerm> termOf(TermReportMessage message) {
@@ -67,7 +67,7 @@
 
   private static TermReportMessage toMessage(TermReport report) {
     TermReportMessage message =
-        new TermReportMessage(report.hearsHolder(), report.resigned(), report.candidate());
+        new TermReportMessage(report.reachesHolder(), report.resigned(), report.candidate());
     report
         .term()
         .ifPresent(
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
@@ -53,7 +53,7 @@
     /** The peer sent a heartbeat. */
     void reported(PeerAddress peer, TermReport report);
 
-    /** The peer is not heard any more. */
+    /** The connection was lost, or the heartbeats of the peer have timed out. */
     void lost(PeerAddress peer);
 
     /** Whether the peer is live or connected to the platform has changed. */
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -36,10 +36,11 @@
 /**
  * Requests slots at backend servers for the work of this host from the dispatching host.
  *
- * <p>The dispatching host is the holder of the newest term that this host knows and hears; see
- * {@link DispatchElection}. While it hears none, the host dispatches for itself, with its part of
- * the slots and of each limit. When the dispatching host changes, waiting demands are submitted to
- * the new one and running work is reported to it. Used only on the event loop's thread.
+ * <p>The dispatching host is the holder of the newest term that this host knows, while this host
+ * reaches it; see {@link DispatchElection}. While it reaches none, the host dispatches for itself,
+ * with its part of the slots and of each limit. When the dispatching host changes, waiting demands
+ * are submitted to the new one and running work is reported to it. Used only on the event loop's
+ * thread.
  */
 public final class PlacementClient {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
@@ -235,7 +236,7 @@
         .orElseGet(() -> dispatchingHost.isSelf() && server.isChosenDispatcher());
   }
 
-  /** Returns the host that dispatches for this one, which may be this host, if it hears one. */
+  /** Returns the host that dispatches for this one, which may be this host, if it reaches one. */
   Optional<HostId> dispatchingHost() {
     return dispatchingHost.host();
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/TermClaimer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/TermClaimer.java
@@ -50,7 +50,7 @@
   /** Claims the next term if it is time. */
   void tick(long nowNanos) {
     election.update(canDispatch.getAsBoolean(), connectedToPlatform.getAsBoolean(), nowNanos);
-    if (!claiming && election.mustStand(nowNanos)) {
+    if (!claiming && election.mustClaim(nowNanos)) {
       claiming = true;
       DispatchTerm next = election.nextTerm();
       log.add("dispatch", "claims a term", "term", next.number());
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -85,8 +85,8 @@
   1: optional i64 number
   2: optional string holder
   3: optional i64 holderStartedMillis
-  /** Whether the sender hears the holder of that term, or holds it. */
-  4: required bool hearsHolder
+  /** Whether the sender reaches the holder of that term, or holds it. */
+  4: required bool reachesHolder
   /** Whether the sender holds that term and wants another host to take over. */
   5: required bool resigned
   /** Whether the sender can take over. */
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/DispatchElectionTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/DispatchElectionTest.java
@@ -28,7 +28,7 @@
   private static long maxMillisWithoutHolder(int candidates) {
     ElectionRules rules = ElectionRules.DEFAULT;
     return HEARTBEAT_TIMEOUT_MILLIS
-        + rules.silence().toMillis()
+        + rules.holderTimeout().toMillis()
         + candidates * rules.rankStep().toMillis()
         + rules.retryDelay().toMillis()
         + HEARTBEAT_TIMEOUT_MILLIS;
@@ -119,7 +119,7 @@
   }
 
   @Test(dataProvider = "harmlessFaults")
-  public void faultThatLeavesTheHolderHeardChangesNobody(
+  public void faultThatLeavesTheHolderReachableChangesNobody(
       int candidates, int callers, String name, Consumer<FleetSimulation> inject) {
     for (long seed = 1; seed <= seeds(candidates, callers); seed++) {
       FleetSimulation fleet = start(candidates, callers, seed);
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/FleetSimulation.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/FleetSimulation.java
@@ -123,7 +123,7 @@
   /**
    * Returns the live process that holds the newest term that any process knows. The platform's
    * record may be newer: a claim may take effect after its answer was lost, and nobody needs to
-   * learn of it while the holder is heard.
+   * learn of it while the holder is reached.
    */
   Optional<SimulatedHost> holder() {
     return hosts.values().stream()
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
@@ -39,8 +39,8 @@
   private final Dispatcher dispatcher;
   private final FleetView view = new FleetView();
   private final Random random;
-  private final Map<HostId, Long> heardPeers = new HashMap<>();
-  private final Map<HostId, Long> heardClients = new HashMap<>();
+  private final Map<HostId, Long> lastPeerHeartbeats = new HashMap<>();
+  private final Map<HostId, Long> lastClientHeartbeats = new HashMap<>();
   private final Set<HostId> followers = new HashSet<>();
   private final Map<Long, Call> calls = new HashMap<>();
   private Optional<HostId> followed = Optional.empty();
@@ -140,10 +140,10 @@
       return;
     }
     if (isActive()) {
-      heardPeers.entrySet().removeIf(entry -> isTimedOut(entry, true));
-      heardClients.entrySet().removeIf(entry -> isTimedOut(entry, false));
+      lastPeerHeartbeats.entrySet().removeIf(entry -> isTimedOut(entry, true));
+      lastClientHeartbeats.entrySet().removeIf(entry -> isTimedOut(entry, false));
       election.update(!servesCallers, fleet.store().answers(id), nowNanos());
-      if (!claiming && election.mustStand(nowNanos())) {
+      if (!claiming && election.mustClaim(nowNanos())) {
         claim();
       }
       follow();
@@ -153,14 +153,14 @@
     fleet.queue().after(TICK_MILLIS, this::tick);
   }
 
-  private boolean isTimedOut(Map.Entry<HostId, Long> heard, boolean isPeer) {
-    if (now() - heard.getValue() <= HEARTBEAT_TIMEOUT_MILLIS) {
+  private boolean isTimedOut(Map.Entry<HostId, Long> lastHeartbeat, boolean isPeer) {
+    if (now() - lastHeartbeat.getValue() <= HEARTBEAT_TIMEOUT_MILLIS) {
       return false;
     }
     if (isPeer) {
-      election.lose(heard.getKey());
+      election.lose(lastHeartbeat.getKey());
     } else {
-      loseClient(heard.getKey());
+      loseClient(lastHeartbeat.getKey());
     }
     return true;
   }
@@ -199,7 +199,7 @@
   }
 
   private void receiveHeartbeat(SimulatedHost client, TermReport report, boolean follows) {
-    heardClients.put(client.id, now());
+    lastClientHeartbeats.put(client.id, now());
     if (client.servesCallers) {
       election.report(client.id, report, nowNanos());
     }
@@ -213,7 +213,7 @@
   }
 
   private void receiveAnswer(SimulatedHost peer, TermReport report) {
-    heardPeers.put(peer.id, now());
+    lastPeerHeartbeats.put(peer.id, now());
     election.report(peer.id, report, nowNanos());
     follow();
   }
@@ -236,7 +236,7 @@
     followedTerm = term;
     followedSinceMillis = now();
     if (wasHolder && !isHolderNow()) {
-      heardClients.keySet().forEach(dispatcher::hostRestarted);
+      lastClientHeartbeats.keySet().forEach(dispatcher::hostRestarted);
     }
     if (next.isPresent() && !isHolderNow()) {
       sendHello(next.get());
@@ -262,7 +262,7 @@
     }
   }
 
-  /** Returns the share of this host while it hears no dispatching host. */
+  /** Returns the share of this host while it reaches no dispatching host. */
   SlotShare ownShare() {
     if (ownShare.isEmpty()) {
       ownShare =
@@ -277,14 +277,14 @@
 
   /** The connection from this host to a peer that can dispatch was lost. */
   void loseConnectionTo(SimulatedHost peer) {
-    heardPeers.remove(peer.id);
+    lastPeerHeartbeats.remove(peer.id);
     election.lose(peer.id);
     follow();
   }
 
   /** The connection of a client to this host was lost. */
   void loseConnectionOf(SimulatedHost client) {
-    heardClients.remove(client.id);
+    lastClientHeartbeats.remove(client.id);
     loseClient(client.id);
   }
 
