--- a/server/src/main/java/org/trefoilbarrow/coordination/backend/BackendState.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/backend/BackendState.java
@@ -10,9 +10,6 @@
  * use. Guarded by the lock of {@link PermitScheduler}.
  */
 final class BackendState {
-  /** Enough to reach the longest backoff; more could overflow. */
-  private static final int MAX_BACKOFF_DOUBLINGS = 10;
-
   private final PermitRules rules;
   private BackendDefinition definition;
   private Temperature temperature = Temperature.PROBING;
@@ -166,7 +163,6 @@
         }
       }
       case WARMING, UNREACHABLE -> {
-        consecutiveFailures++;
         setTemperature(Temperature.PROBING, nowNanos);
         backOff(nowNanos);
       }
@@ -216,8 +212,8 @@
   }
 
   private void backOff(long nowNanos) {
-    int doublings = Math.min(consecutiveFailures - 1, MAX_BACKOFF_DOUBLINGS);
-    long delayNanos = rules.retryAfter().toNanos() << doublings;
+    consecutiveFailures++;
+    long delayNanos = rules.retryAfter().toNanos() << Math.min(consecutiveFailures, 10);
     notBeforeNanos = nowNanos + Math.min(delayNanos, rules.maxRetryAfter().toNanos());
   }
 
