Count no attempt of a batch item that a backend server did not admit

Cause: BatchCalls dropped what BackendException knows, that the request certainly did not run (refused before admission, or no connection). ItemRunner counted each such answer as a failed attempt: one stream dropped by the restart and two refusals of the starting engine are the three attempts of the default.

Evidence: itemLosesNoAttemptToAnEngineThatIsStarting, with one attempt an item and engines that are starting for some seconds, failed before the change: "expected [100] but found [85]".

Change: the result of a call says whether it has not run; such an item returns to the pending ones without losing an attempt. The backend server's own backoff bounds how often it is asked.

--- a/server/src/main/java/org/trefoilbarrow/transport/backend/BatchCalls.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/backend/BatchCalls.java
@@ -61,9 +61,10 @@
    * The result of a request.
    *
    * @param response the full response, if there is one
+   * @param notRun whether no backend server has run the request
    * @param cause why there is no response
    */
-  public record Result(Optional<FullResponse> response, String cause) {}
+  public record Result(Optional<FullResponse> response, boolean notRun, String cause) {}
 
   /** Sends a request, reads its full response and releases the permit. */
   public Result send(Permit permit, Handle handle, RequestId id, byte[] body, Duration timeout) {
@@ -73,13 +74,15 @@
       byte[] bytes = BackendClient.readFully(response, maxAnswerBytes);
       result = CallResult.SUCCESS;
       return new Result(
-          Optional.of(new FullResponse(response.status(), response.contentType(), bytes)), "");
+          Optional.of(new FullResponse(response.status(), response.contentType(), bytes)),
+          false,
+          "");
     } catch (BackendException e) {
       result = handle.isCancelled() ? CallResult.CANCELLED : e.result();
-      return new Result(Optional.empty(), e.getMessage());
+      return new Result(Optional.empty(), e.isNotRun(), e.getMessage());
     } catch (IOException e) {
       result = CallResult.FAILURE;
-      return new Result(Optional.empty(), "the connection failed");
+      return new Result(Optional.empty(), false, "the connection failed");
     } finally {
       permits.release(permit, result);
     }
--- a/server/src/main/java/org/trefoilbarrow/transport/batch/ItemRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/batch/ItemRunner.java
@@ -42,7 +42,7 @@
     FAILED,
     /** The attempt failed; another may succeed. */
     RETRY,
-    /** The item was cancelled to release its permit to an online request. */
+    /** The item did not run, or was cancelled to release its permit to an online request. */
     YIELDED
   }
 
@@ -115,7 +115,8 @@
             .getBytes(StandardCharsets.UTF_8);
     BatchCalls.Result result = calls.send(prepared.permit(), prepared.handle(), id, body, timeout);
     if (result.response().isEmpty()) {
-      Outcome outcome = prepared.handle().isCancelled() ? Outcome.YIELDED : Outcome.RETRY;
+      boolean yielded = prepared.handle().isCancelled() || result.notRun();
+      Outcome outcome = yielded ? Outcome.YIELDED : Outcome.RETRY;
       return new AttemptResult(outcome, "", result.cause());
     }
     return toResult(item, id, result.response().get());
--- a/server/src/test/java/org/trefoilbarrow/command/BatchFaultsTest.java
+++ b/server/src/test/java/org/trefoilbarrow/command/BatchFaultsTest.java
@@ -17,6 +17,8 @@
 import org.trefoilbarrow.fleet.Eventually;
 import org.trefoilbarrow.fleet.Fleet;
 import org.trefoilbarrow.fleet.HostProcess;
+import org.trefoilbarrow.operators.BatchRuleSpec;
+import org.trefoilbarrow.operators.ConfigurationJson;
 import org.trefoilbarrow.operators.OrganisationSpec;
 import org.trefoilbarrow.standins.EngineProfile;
 
@@ -114,6 +116,31 @@
     assertEveryItemOnce(1, job, ITEM_COUNT);
   }
 
+  /** An item used up its attempts on refusals of engines that had not admitted it. */
+  @Test
+  public void itemLosesNoAttemptToAnEngineThatIsStarting() {
+    fleet
+        .operator(0)
+        .put(
+            "/admin/v1/batch-rules/workshop",
+            ConfigurationJson.print(new BatchRuleSpec("workshop", 10_000, 1)),
+            "If-None-Match",
+            "*");
+    restartAllEngines();
+    String job = submit(0, 100);
+    for (int restart = 0; restart < 8; restart++) {
+      Eventually.pause(Duration.ofMillis(400));
+      // The engines are never ready in between, so that they drop no admitted item.
+      restartAllEngines();
+    }
+    assertEveryItemOnce(1, job, 100);
+  }
+
+  private void restartAllEngines() {
+    fleet.engine(0).restart();
+    fleet.engine(1).restart();
+  }
+
   @Test
   public void itemThatCannotSucceedFailsAndDelaysNoOther() {
     String content =
