Keep a request at a silent backend server until another has a slot for it

What callers saw: streams that ended without an end, and whole requests that got 502, though their backend server was sound, silent for a second or so, and went on.

Cause: a host gave up an attempt after the route's event gap of silence (before the response: after twice its target) and released its slot before it had one elsewhere. When that slot was refused, as in a burst or with no other server, the caller's response was cut. Class: a working resource is released before its replacement is certain, on a sign that proves nothing.

Change: Failover, without I/O, decides: silence requests a slot, the attempt goes on; when the slot is assigned the attempt is cancelled and the request is moved; when the server goes on first, the request for the slot is withdrawn; when it is refused, it is made again after as long a silence. A broken attempt uses the request that waits. A response that has begun and has no server asks for slots until its deadline. One more demand waits at the dispatching host for each silent attempt, at most. The dispatcher is unchanged. Log events "silent", "went on", "kept", "moved", "waits again", and "cause" in "cut" and "failed", tell the cases apart.

Conclusion: shown and mended by the test; whether it is the reported case is not known.

--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -0,0 +1,142 @@
+package org.trefoilbarrow.transport.forward;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import org.trefoilbarrow.coordination.dispatch.PlacementResult;
+import org.trefoilbarrow.state.fleet.BackendServer;
+
+/** One attempt of a caller's request at one backend server: reads the response and reports it. */
+final class BackendAttempt implements BackendResponseHandler {
+  private final BackendServer backend;
+  private final String requestId;
+  private final boolean expectsStream;
+  private final Listener listener;
+  private final EventStream events = new EventStream();
+  private final ByteBuf body = Unpooled.buffer(0);
+  private BackendConnections.Cancellation cancellation = () -> {};
+  private Optional<HttpResponse> response = Optional.empty();
+  private boolean notRun;
+  private boolean replaced;
+  private boolean streaming;
+  private boolean ended;
+
+  /** Receives what an attempt reports; exactly one of the calls but the first two ends it. */
+  interface Listener {
+    /** Called when a part of the response was received, before its events. */
+    void onProgress(BackendAttempt attempt, boolean streaming);
+
+    /** Called for each complete event of a stream. */
+    void onEvent(HttpResponse response, EventStream.Event event);
+
+    /** Called when a stream ended after a complete event. */
+    void onStreamComplete(HttpResponse response);
+
+    /** Called when a response that is no stream is complete; the callee releases the body. */
+    void onResponseComplete(BackendAttempt attempt, HttpResponse response, ByteBuf body);
+
+    /** Called when the response is lost, and the request may have run. */
+    void onLost(BackendAttempt attempt);
+
+    /** Called when the request certainly did not run. */
+    void onNotRun(BackendAttempt attempt, PlacementResult result);
+  }
+
+  /**
+   * Creates an attempt that is not sent yet.
+   *
+   * @param expectsStream whether a success is an event stream
+   */
+  BackendAttempt(
+      BackendServer backend, String requestId, boolean expectsStream, Listener listener) {
+    this.backend = checkNotNull(backend, "backend");
+    this.requestId = checkNotNull(requestId, "requestId");
+    this.expectsStream = expectsStream;
+    this.listener = checkNotNull(listener, "listener");
+  }
+
+  BackendServer backend() {
+    return backend;
+  }
+
+  /** Sends the request; the connection releases it. */
+  void send(BackendConnections connections, FullHttpRequest request) {
+    cancellation = connections.send(backend, request, this);
+  }
+
+  /** Cancels the attempt unless it has ended; nothing more is reported. */
+  void cancel() {
+    if (!ended) {
+      ended = true;
+      cancellation.cancel();
+    }
+  }
+
+  @Override
+  public String requestId() {
+    return requestId;
+  }
+
+  @Override
+  public void onHeaders(HttpResponse received, ResponseAttributes responseAttributes) {
+    response = Optional.of(received);
+    notRun = responseAttributes.notRun();
+    replaced = responseAttributes.replaced();
+    streaming =
+        expectsStream && received.status().code() == HttpResponseStatus.OK.code() && !notRun;
+    listener.onProgress(this, streaming);
+  }
+
+  @Override
+  public void onBody(ByteBuf part) {
+    listener.onProgress(this, streaming);
+    if (!streaming) {
+      body.writeBytes(part);
+      return;
+    }
+    for (EventStream.Event event : events.append(part)) {
+      listener.onEvent(response.get(), event);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (replaced || notRun) {
+      reportNotRun();
+    } else if (!streaming) {
+      listener.onResponseComplete(this, response.get(), body);
+    } else if (events.isInsideEvent()) {
+      listener.onLost(this);
+    } else {
+      listener.onStreamComplete(response.get());
+    }
+  }
+
+  @Override
+  public void onBroken(boolean sent) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (replaced || notRun) {
+      reportNotRun();
+    } else if (sent) {
+      listener.onLost(this);
+    } else {
+      listener.onNotRun(this, PlacementResult.FAILED);
+    }
+  }
+
+  private void reportNotRun() {
+    listener.onNotRun(this, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
+  }
+}
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ObjectArrays;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -10,16 +11,15 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.coordination.failover.Failover;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.ErrorKind;
 import org.trefoilbarrow.state.fleet.BackendServer;
@@ -30,26 +30,13 @@
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
 
 /**
- * One request of a caller, from its arrival to the end of its response: requests a slot, sends the
- * request to a backend server, retries it where that is safe, resumes a stream at another backend
- * server, and responds to the caller.
+ * One request of a caller, from its arrival to the end of its response: requests slots, sends the
+ * request to backend servers as {@link Failover} decides, and responds to the caller.
  */
-final class ForwardedCall implements PlacementListener {
+final class ForwardedCall implements BackendAttempt.Listener {
   /** The fraction of the route's target time within which a request must be placed. */
   private static final double PLACEMENT_FRACTION = 0.75;
 
-  /** The most sends of a request that certainly did not run. */
-  private static final int MAX_UNPROCESSED_SENDS = 4;
-
-  /** The shortest time in which a backend server can be expected to start its response. */
-  private static final Duration MIN_FIRST_RESPONSE_TIMEOUT = Duration.ofMillis(250);
-
-  /** Added to a route's longest event gap before a stream is resumed at another backend server. */
-  private static final Duration EVENT_GAP_MARGIN = Duration.ofMillis(100);
-
-  /** A request with less time before its deadline is not sent. */
-  private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(5);
-
   private static final int RANKS_PER_PRIORITY = 1000;
   private static final long NANOS_IN_MILLI = 1_000_000;
 
@@ -63,14 +50,13 @@
   private final boolean retriedByCaller;
   private final long startNanos;
   private final long deadlineNanos;
+  private final Failover failover;
   private final Set<BackendServerId> excluded = new HashSet<>();
   private final ScheduledFuture<?> timeout;
-  private long demandNumber = -1;
-  private int runs;
-  private int unprocessedSends;
-  private Optional<Attempt> attempt = Optional.empty();
+  private Optional<Slot> requestedSlot = Optional.empty();
+  private Optional<Slot> usedSlot = Optional.empty();
+  private Optional<BackendAttempt> attempt = Optional.empty();
   private Optional<String> lastEventId;
-  private boolean responseStarted;
   private boolean done;
 
   ForwardedCall(
@@ -95,31 +81,45 @@
     long timeoutMillis =
         Math.min(route.timeoutMillis(), attributes.deadlineMillis().orElse(Long.MAX_VALUE));
     this.deadlineNanos = startNanos + timeoutMillis * NANOS_IN_MILLI;
+    this.failover = new Failover(route, startNanos, deadlineNanos);
     this.timeout = services.loop().schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
   /** Requests the first slot. */
   void start() {
+    failover.start();
     requestSlot(organisation, retriedByCaller);
   }
 
   /** Cancels the request because the caller has closed its connection. */
   void cancel() {
     if (!done) {
-      releaseSlot(PlacementResult.CANCELLED);
+      releaseSlots(PlacementResult.CANCELLED);
       end("cancelled");
     }
   }
 
-  /** Retries the request at another backend server if the current one has stalled. */
+  /** Requests a slot at another backend server if the current one is silent. */
   void checkProgress(long nowNanos) {
-    attempt.ifPresent(current -> current.checkProgress(nowNanos));
+    if (failover.check(nowNanos) != Failover.Step.REQUEST_SLOT) {
+      return;
+    }
+    attempt.ifPresent(
+        current -> {
+          logAttempt("silent", current, "silentMillis", silentMillis());
+          excluded.add(current.backend().id());
+        });
+    requestSlot(Optional.empty(), true);
   }
 
   private long now() {
     return services.nanoClock().getAsLong();
   }
 
+  private long silentMillis() {
+    return failover.silenceNanos(now()) / NANOS_IN_MILLI;
+  }
+
   private void requestSlot(Optional<Organisation> chargedOrganisation, boolean repeated) {
     int rank =
         organisation.map(Organisation::priority).orElse(0) * RANKS_PER_PRIORITY + route.priority();
@@ -136,17 +136,54 @@
             repeated,
             excluded,
             attributes.requestId());
-    demandNumber = services.placements().submit(demand, this);
+    Slot slot = new Slot();
+    requestedSlot = Optional.of(slot);
+    slot.number = services.placements().submit(demand, slot);
   }
 
-  @Override
-  public void placed(BackendServer backend) {
-    long remainingNanos = deadlineNanos - now();
-    if (remainingNanos < MIN_REMAINING_TIME.toNanos()) {
-      releaseSlot(PlacementResult.CANCELLED);
-      onTimeout();
-      return;
+  private void withdrawRequest() {
+    requestedSlot.ifPresent(slot -> slot.release(PlacementResult.CANCELLED));
+    requestedSlot = Optional.empty();
+  }
+
+  /** One slot at a backend server, requested or in use. */
+  private final class Slot implements PlacementListener {
+    private long number;
+
+    void release(PlacementResult result) {
+      services.placements().finish(number, result);
     }
+
+    @Override
+    public void placed(BackendServer backend) {
+      switch (failover.slotAssigned(now())) {
+        case WITHDRAW_REQUEST -> withdrawRequest();
+        case EXPIRE -> onTimeout();
+        case MOVE -> {
+          attempt.ifPresent(
+              silent -> logAttempt("moved", silent, "lastEvent", lastEventId.orElse("")));
+          releaseUsedSlot(PlacementResult.STALLED);
+          useSlot(this, backend);
+        }
+        default -> useSlot(this, backend);
+      }
+    }
+
+    @Override
+    public void refused(RefusalReason reason, long retryAfterMillis) {
+      requestedSlot = Optional.empty();
+      onRefused(reason, retryAfterMillis);
+    }
+
+    @Override
+    public void revoked() {
+      // Only slots of batch items are revoked.
+    }
+  }
+
+  private void useSlot(Slot slot, BackendServer backend) {
+    requestedSlot = Optional.empty();
+    usedSlot = Optional.of(slot);
     HttpHeaders headers =
         services
             .dialect()
@@ -154,13 +191,11 @@
                 HopByHopHeaders.removeFrom(request.headers()),
                 backend,
                 organisation.map(Organisation::id),
-                remainingNanos / NANOS_IN_MILLI,
+                (deadlineNanos - now()) / NANOS_IN_MILLI,
                 lastEventId);
     if (request.content().isReadable()) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
     }
-    Attempt next = new Attempt(backend);
-    attempt = Optional.of(next);
     recordStage(FleetMetrics.Stage.PLACED);
     services
         .log()
@@ -181,38 +216,43 @@
             request.content().retainedDuplicate(),
             headers,
             EmptyHttpHeaders.INSTANCE);
-    next.cancellation = services.connections().send(backend, sent, next);
+    BackendAttempt next =
+        new BackendAttempt(backend, attributes.requestId(), route.isStreaming(), this);
+    attempt = Optional.of(next);
+    next.send(services.connections(), sent);
   }
 
-  @Override
-  public void refused(RefusalReason reason, long retryAfterMillis) {
-    demandNumber = -1;
-    if (done) {
-      return;
-    }
-    if (responseStarted || runs > 0) {
-      // A run was lost at one backend server, and the retry gets no slot at another.
-      endWithoutResult();
-      return;
+  private void onRefused(RefusalReason reason, long retryAfterMillis) {
+    switch (failover.slotRefused(retryAfterMillis * NANOS_IN_MILLI, now())) {
+      case FAIL -> endWithoutResult("no slot: " + reason);
+      case REFUSE -> {
+        services
+            .log()
+            .add(
+                "forward",
+                "refused",
+                "request",
+                attributes.requestId(),
+                "reason",
+                reason,
+                "retryAfterMillis",
+                retryAfterMillis);
+        responder.refuse(kindOf(reason), retryAfterMillis);
+        finish("refused_" + reason);
+      }
+      default ->
+          services
+              .log()
+              .add(
+                  "forward",
+                  attempt.isPresent() ? "kept" : "waits again",
+                  "request",
+                  attributes.requestId(),
+                  "backend",
+                  attempt.map(current -> current.backend().id().value()).orElse(""),
+                  "reason",
+                  reason);
     }
-    services
-        .log()
-        .add(
-            "forward",
-            "refused",
-            "request",
-            attributes.requestId(),
-            "reason",
-            reason,
-            "retryAfterMillis",
-            retryAfterMillis);
-    responder.refuse(kindOf(reason), retryAfterMillis);
-    finish("refused_" + reason);
-  }
-
-  @Override
-  public void revoked() {
-    // Only slots of batch items are revoked.
   }
 
   private static ErrorKind kindOf(RefusalReason reason) {
@@ -227,12 +267,11 @@
     if (done) {
       return;
     }
-    // A request that is at a backend server may run there, so it is not refused as unprocessed.
-    final boolean atBackend = attempt.isPresent();
-    releaseSlot(PlacementResult.CANCELLED);
-    if (responseStarted) {
+    releaseSlots(PlacementResult.CANCELLED);
+    if (failover.isResponseStarted()) {
       responder.abort();
-    } else if (runs > 0 || atBackend) {
+    } else if (failover.mayHaveRun()) {
+      // A request that is at a backend server may run there, so it is not refused as unprocessed.
       responder.refuse(ErrorKind.BACKEND_TIMEOUT, 0);
     } else {
       responder.refuse(ErrorKind.QUEUE_FULL, 0);
@@ -240,28 +279,34 @@
     end("timeout");
   }
 
-  private void releaseSlot(PlacementResult result) {
+  /** Cancels the attempt, if one runs, and gives back its slot. */
+  private void releaseUsedSlot(PlacementResult result) {
     attempt.ifPresent(
         current -> {
           current.cancel();
-          services.metrics().countPlacement(current.backend.id(), result.name());
+          services.metrics().countPlacement(current.backend().id(), result.name());
         });
     attempt = Optional.empty();
-    if (demandNumber >= 0) {
-      services.placements().finish(demandNumber, result);
-      demandNumber = -1;
-    }
+    usedSlot.ifPresent(slot -> slot.release(result));
+    usedSlot = Optional.empty();
+  }
+
+  private void releaseSlots(PlacementResult result) {
+    releaseUsedSlot(result);
+    withdrawRequest();
   }
 
   /** Ends a request that may have run and whose response is lost. */
-  private void endWithoutResult() {
-    if (responseStarted) {
+  private void endWithoutResult(String cause) {
+    releaseSlots(PlacementResult.CANCELLED);
+    boolean begun = failover.isResponseStarted();
+    if (begun) {
       responder.abort();
-      end("cut");
     } else {
       responder.refuse(ErrorKind.BACKEND_FAILED, 0);
-      end("failed");
     }
+    log(begun ? "cut" : "failed", "cause", cause);
+    finish(begun ? "cut" : "failed");
   }
 
   private void end(String outcome) {
@@ -287,228 +332,137 @@
             now() - startNanos);
   }
 
-  private void log(String event) {
+  private void log(String event, Object... fields) {
     services
         .log()
         .add(
             "forward",
             event,
-            "request",
-            attributes.requestId(),
-            "route",
-            route.name(),
-            "runs",
-            runs,
-            "begun",
-            responseStarted,
-            "millis",
-            (now() - startNanos) / NANOS_IN_MILLI);
+            ObjectArrays.concat(
+                new Object[] {
+                  "request",
+                  attributes.requestId(),
+                  "route",
+                  route.name(),
+                  "runs",
+                  failover.runs(),
+                  "begun",
+                  failover.isResponseStarted(),
+                  "millis",
+                  (now() - startNanos) / NANOS_IN_MILLI
+                },
+                fields,
+                Object.class));
   }
 
-  /** Retries a request that may have run, if its route allows that; ends it otherwise. */
-  private void retryAfterRun(BackendServer backend, PlacementResult result) {
+  private void logAttempt(String event, BackendAttempt about, String name, Object value) {
     services
         .log()
         .add(
             "forward",
-            "lost",
+            event,
             "request",
             attributes.requestId(),
             "backend",
-            backend.id(),
-            "result",
-            result,
-            "lastEvent",
-            lastEventId.orElse(""));
-    releaseSlot(result);
-    excluded.add(backend.id());
-    boolean mayRetry = route.isRetryable() && runs < Math.max(1, route.maxAttempts());
-    if (mayRetry && deadlineNanos - now() > MIN_REMAINING_TIME.toNanos()) {
-      requestSlot(Optional.empty(), true);
-      return;
-    }
-    endWithoutResult();
+            about.backend().id(),
+            name,
+            value);
   }
 
-  /** Retries, at another backend server, a request that certainly did not run. */
-  private void retryUnprocessed(BackendServer backend, PlacementResult result) {
-    services
-        .log()
-        .add(
-            "forward",
-            "unrun",
-            "request",
-            attributes.requestId(),
-            "backend",
-            backend.id(),
-            "result",
-            result);
-    releaseSlot(result);
-    excluded.add(backend.id());
-    unprocessedSends++;
-    if (unprocessedSends < MAX_UNPROCESSED_SENDS
-        && deadlineNanos - now() > MIN_REMAINING_TIME.toNanos()) {
-      requestSlot(Optional.empty(), true);
-      return;
-    }
-    if (responseStarted || runs > 0) {
-      endWithoutResult();
-      return;
+  @Override
+  public void onProgress(BackendAttempt current, boolean streaming) {
+    long silentMillis = silentMillis();
+    if (failover.progressed(streaming, now()) == Failover.Step.WITHDRAW_REQUEST) {
+      logAttempt("went on", current, "silentMillis", silentMillis);
+      withdrawRequest();
     }
-    responder.refuse(ErrorKind.QUEUE_FULL, route.latencyTargetMillis());
-    end("unrun everywhere");
   }
 
-  /** One attempt of the request at one backend server. */
-  private final class Attempt implements BackendResponseHandler {
-    private final BackendServer backend;
-    private final EventStream events = new EventStream();
-    private final ByteBuf body = Unpooled.buffer(0);
-    private BackendConnections.Cancellation cancellation = () -> {};
-    private Optional<HttpResponse> response = Optional.empty();
-    private boolean notRun;
-    private boolean replaced;
-    private boolean streaming;
-    private boolean ended;
-    private long lastProgressNanos = now();
-
-    Attempt(BackendServer backend) {
-      this.backend = backend;
-    }
-
-    @Override
-    public String requestId() {
-      return attributes.requestId();
-    }
-
-    void cancel() {
-      if (!ended) {
-        ended = true;
-        cancellation.cancel();
-      }
-    }
-
-    void checkProgress(long nowNanos) {
-      if (!route.isRetryable() || runs + 1 >= Math.max(1, route.maxAttempts())) {
-        return;
-      }
-      long timeoutNanos =
-          responseStarted && streaming
-              ? Duration.ofMillis(route.eventGapMillis()).plus(EVENT_GAP_MARGIN).toNanos()
-              : Math.max(
-                  MIN_FIRST_RESPONSE_TIMEOUT.toNanos(),
-                  2 * route.latencyTargetMillis() * NANOS_IN_MILLI);
-      if (nowNanos - lastProgressNanos > timeoutNanos) {
-        runs++;
-        retryAfterRun(backend, PlacementResult.STALLED);
-      }
-    }
-
-    @Override
-    public void onHeaders(HttpResponse received, ResponseAttributes responseAttributes) {
-      lastProgressNanos = now();
-      response = Optional.of(received);
-      notRun = responseAttributes.notRun();
-      replaced = responseAttributes.replaced();
-      streaming =
-          route.isStreaming()
-              && received.status().code() == HttpResponseStatus.OK.code()
-              && !notRun;
+  @Override
+  public void onEvent(HttpResponse response, EventStream.Event event) {
+    if (!event.isAfter(lastEventId)) {
+      return;
     }
-
-    @Override
-    public void onBody(ByteBuf part) {
-      lastProgressNanos = now();
-      if (!streaming) {
-        body.writeBytes(part);
-        return;
-      }
-      for (EventStream.Event event : events.append(part)) {
-        forwardEvent(event);
-      }
+    if (!failover.isResponseStarted()) {
+      failover.responseStarted();
+      recordStage(FleetMetrics.Stage.FIRST_PIECE);
+      HttpHeaders headers = HopByHopHeaders.removeFrom(response.headers());
+      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+      responder.startResponse(response.status(), headers);
     }
-
-    private void forwardEvent(EventStream.Event event) {
-      if (!event.isAfter(lastEventId)) {
-        return;
-      }
-      if (!responseStarted) {
-        responseStarted = true;
-        recordStage(FleetMetrics.Stage.FIRST_PIECE);
-        HttpHeaders headers = HopByHopHeaders.removeFrom(response.get().headers());
-        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        responder.startResponse(response.get().status(), headers);
-      }
-      if (event.id().isPresent()) {
-        lastEventId = event.id();
-      }
-      responder.writePart(Unpooled.wrappedBuffer(event.bytes()));
+    if (event.id().isPresent()) {
+      lastEventId = event.id();
     }
+    responder.writePart(Unpooled.wrappedBuffer(event.bytes()));
+  }
 
-    @Override
-    public void onEnd() {
-      ended = true;
-      if (done) {
-        return;
-      }
-      if (replaced || notRun) {
-        retryUnprocessed(backend, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
-      } else if (streaming) {
-        completeStream();
-      } else {
-        completeResponse();
-      }
+  @Override
+  public void onStreamComplete(HttpResponse response) {
+    failover.attemptCompleted();
+    releaseSlots(PlacementResult.ANSWERED);
+    if (!failover.isResponseStarted()) {
+      failover.responseStarted();
+      responder.startResponse(response.status(), HopByHopHeaders.removeFrom(response.headers()));
     }
+    responder.endResponse();
+    recordStage(FleetMetrics.Stage.ANSWERED);
+    end("answered");
+  }
 
-    private void completeStream() {
-      runs++;
-      if (events.isInsideEvent()) {
-        retryAfterRun(backend, PlacementResult.FAILED);
-        return;
-      }
-      releaseSlot(PlacementResult.ANSWERED);
-      if (!responseStarted) {
-        responseStarted = true;
-        responder.startResponse(
-            response.get().status(), HopByHopHeaders.removeFrom(response.get().headers()));
-      }
-      responder.endResponse();
-      recordStage(FleetMetrics.Stage.ANSWERED);
-      end("answered");
+  @Override
+  public void onResponseComplete(BackendAttempt current, HttpResponse response, ByteBuf body) {
+    boolean failed = response.status().code() >= 500;
+    if (failover.isResponseStarted() || (failed && failover.mayRunAgain())) {
+      onLost(current);
+      return;
     }
+    failover.attemptCompleted();
+    releaseSlots(failed ? PlacementResult.FAILED : PlacementResult.ANSWERED);
+    responder.respond(response.status(), HopByHopHeaders.removeFrom(response.headers()), body);
+    recordStage(FleetMetrics.Stage.ANSWERED);
+    end(failed ? "failed by backend" : "answered");
+  }
 
-    private void completeResponse() {
-      runs++;
-      HttpResponse received = response.get();
-      boolean failed = received.status().code() >= 500;
-      if (failed && route.isRetryable() && runs < Math.max(1, route.maxAttempts())) {
-        retryAfterRun(backend, PlacementResult.FAILED);
-        return;
-      }
-      if (responseStarted) {
-        retryAfterRun(backend, PlacementResult.FAILED);
-        return;
-      }
-      releaseSlot(failed ? PlacementResult.FAILED : PlacementResult.ANSWERED);
-      responder.respond(received.status(), HopByHopHeaders.removeFrom(received.headers()), body);
-      recordStage(FleetMetrics.Stage.ANSWERED);
-      end(failed ? "failed by backend" : "answered");
+  /** Requests a slot for a request that may have run, if its route allows that; ends it if not. */
+  @Override
+  public void onLost(BackendAttempt lost) {
+    services
+        .log()
+        .add(
+            "forward",
+            "lost",
+            "request",
+            attributes.requestId(),
+            "backend",
+            lost.backend().id(),
+            "result",
+            PlacementResult.FAILED,
+            "lastEvent",
+            lastEventId.orElse(""));
+    excluded.add(lost.backend().id());
+    releaseUsedSlot(PlacementResult.FAILED);
+    switch (failover.attemptLost(now())) {
+      case REQUEST_SLOT -> requestSlot(Optional.empty(), true);
+      case FAIL -> endWithoutResult("no further run");
+      default -> {}
     }
+  }
 
-    @Override
-    public void onBroken(boolean sent) {
-      ended = true;
-      if (done) {
-        return;
-      }
-      if (replaced || notRun) {
-        retryUnprocessed(backend, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
-      } else if (sent) {
-        runs++;
-        retryAfterRun(backend, PlacementResult.FAILED);
-      } else {
-        retryUnprocessed(backend, PlacementResult.FAILED);
+  /** Requests a slot for a request that certainly did not run. */
+  @Override
+  public void onNotRun(BackendAttempt rejected, PlacementResult result) {
+    logAttempt("unrun", rejected, "result", result);
+    excluded.add(rejected.backend().id());
+    releaseUsedSlot(result);
+    switch (failover.attemptNotRun(now())) {
+      case REQUEST_SLOT -> requestSlot(Optional.empty(), true);
+      case FAIL -> endWithoutResult("not run anywhere else");
+      case REFUSE -> {
+        withdrawRequest();
+        responder.refuse(ErrorKind.QUEUE_FULL, route.latencyTargetMillis());
+        end("unrun everywhere");
       }
+      default -> {}
     }
   }
 }
