Ignore a response without identifier on a reused connection

What callers saw: reports of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers got "not run, try again" for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE).

Cause: a response without an identifier counted as the response to the open request, also on a reused connection, where it may be the repetition of an earlier one. One with the identifier of another request was ignored already (the first row shows it).

Evidence: FaultyAnswersTest.repeatedRefusalIsNotBelievedOfTheNextRequest before the change: once1 (503, marked), once2 (429, marked), once3 (421): "status for a request that ran expected [200] but found [503]" once4 (408, unmarked): "status for a request that ran expected [200] but found [408]" With one row that passed (once0: 503 with the earlier identifier).

Change: on a reused connection only a response with the request's identifier belongs to it; others are skipped. On a new connection no earlier request exists whose response could be repeated, so one without identifier is believed as before.

After: 5 of 5 rows pass.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
@@ -74,7 +74,8 @@
     Optional<Connection> reused = takeIdle(backend.id());
     Connection connection = reused.orElseGet(() -> new Connection(backend));
     connection.handler = handler;
-    if (reused.isPresent()) {
+    connection.reused = reused.isPresent();
+    if (connection.reused) {
       connection.write(request);
     } else {
       connection.open(request);
@@ -117,6 +118,7 @@
     private Channel channel;
     private BackendResponseHandler handler;
     private boolean sent;
+    private boolean reused;
     private boolean aborted;
     private boolean failed;
     private boolean responseIgnored;
@@ -223,9 +225,7 @@
         return true;
       }
       ResponseAttributes attributes = dialect.responseAttributes(response);
-      // A repeated response to an earlier request may arrive first; the identifier shows it.
-      responseIgnored =
-          attributes.requestId().filter(id -> !id.equals(handler.requestId())).isPresent();
+      responseIgnored = !isResponseToOpenRequest(attributes);
       keepAlive = HttpUtil.isKeepAlive(response) && isFramed(response);
       idleMillis = attributes.idleMillis();
       if (responseIgnored) {
@@ -245,6 +245,14 @@
       return true;
     }
 
+    /**
+     * Returns whether a response belongs to the open request. A repeated response to an earlier
+     * request may arrive first; only the identifier tells them apart.
+     */
+    private boolean isResponseToOpenRequest(ResponseAttributes attributes) {
+      return attributes.requestId().map(handler.requestId()::equals).orElse(!reused);
+    }
+
     private boolean isFramed(HttpResponse response) {
       return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
     }
