Keep a server's 429, 503 and 408 without mark from callers

Cause: a server's response was passed on unchanged, also with a status that callers take for the promise that the request has not run and never will. A server promises this only with its mark; no other response states it (PROTOCOL, Workers).

Evidence: FaultyAnswersTest.statusWithoutNotRunMarkIsNoPromiseToTheCaller before the change: "expected [502] but found [503]", "... [429]", "... [408]"

Change: such a response counts as a run whose result is lost: repeated where the route allows that, otherwise 502 without the server's signature.

After: 3 of 3 rows pass, with all rows of the class. Conclusion: a 503 reaches a caller only from the host itself or after a marked refusal.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -22,6 +22,7 @@
   private BackendConnections.Cancellation cancellation = () -> {};
   private Optional<HttpResponse> response = Optional.empty();
   private boolean notRun;
+  private boolean impliesNotRun;
   private boolean replaced;
   private boolean streaming;
   private boolean ended;
@@ -86,6 +87,7 @@
   public void onHeaders(HttpResponse received, ResponseAttributes responseAttributes) {
     response = Optional.of(received);
     notRun = responseAttributes.notRun();
+    impliesNotRun = responseAttributes.impliesNotRun();
     replaced = responseAttributes.replaced();
     streaming =
         expectsStream && received.status().code() == HttpResponseStatus.OK.code() && !notRun;
@@ -112,6 +114,9 @@
     ended = true;
     if (replaced || notRun) {
       reportNotRun();
+    } else if (impliesNotRun) {
+      // A server that does not state that it did not run the request makes no such promise.
+      listener.onLost(this);
     } else if (!streaming) {
       listener.onResponseComplete(this, response.get(), body);
     } else if (events.isInsideEvent()) {
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ResponseAttributes.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ResponseAttributes.java
@@ -9,6 +9,8 @@
  * @param signed whether the response has the backend server's signature, which every response to a
  *     processed request has
  * @param notRun whether the backend server states that it did not run the request
+ * @param impliesNotRun whether callers take the status for the statement that the request did not
+ *     run and never will
  * @param replaced whether the address now belongs to another backend server
  * @param idleMillis how long the server keeps an idle connection open; 0 if unknown
  */
@@ -16,5 +18,6 @@
     Optional<String> requestId,
     boolean signed,
     boolean notRun,
+    boolean impliesNotRun,
     boolean replaced,
     long idleMillis) {}
