Resume a stream only with a response of the same media type

Cause: every signed 200 of a later server was read as events, also an error page of another media type; its paragraphs became events without identifier, which are always forwarded, and its end ended the stream as complete.

Evidence: FaultyAnswersTest.errorAfterBeginningOfStreamIsNotPartOfTheStream before the change, rows "200 of another type" and "200 without a type": "expected [id: 1 ... id: 3 data: e3] but found [id: 1 ... id: 3 data: e3 error id: 9 data: wrong more]". The 11 other rows passed before: 500, 503 without mark, 504, 404, 206, framed by a length, by chunks or by the connection's end, cut in the head, unsigned, and bytes that are no response. So did the tests of a marked refusal and of a stream that starts over.

Change: a response continues a begun stream only if its media type is that of the first; otherwise it is a lost run. No type is required of the first response.

After: 13 of 13 rows pass; the class passes. Open: a later server's 200 of the right type that skips events or ends early between two events cannot be told from a sound one.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -6,8 +6,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.state.fleet.BackendServer;
 
@@ -15,7 +15,7 @@
 final class BackendAttempt implements BackendResponseHandler {
   private final BackendServer backend;
   private final String requestId;
-  private final boolean expectsStream;
+  private final Predicate<HttpResponse> isStream;
   private final Listener listener;
   private final EventStream events = new EventStream();
   private final ByteBuf body = Unpooled.buffer(0);
@@ -51,13 +51,16 @@
   /**
    * Creates an attempt that is not sent yet.
    *
-   * @param expectsStream whether a success is an event stream
+   * @param isStream whether a response to a request that ran is part of an event stream
    */
   BackendAttempt(
-      BackendServer backend, String requestId, boolean expectsStream, Listener listener) {
+      BackendServer backend,
+      String requestId,
+      Predicate<HttpResponse> isStream,
+      Listener listener) {
     this.backend = checkNotNull(backend, "backend");
     this.requestId = checkNotNull(requestId, "requestId");
-    this.expectsStream = expectsStream;
+    this.isStream = checkNotNull(isStream, "isStream");
     this.listener = checkNotNull(listener, "listener");
   }
 
@@ -89,8 +92,7 @@
     notRun = responseAttributes.notRun();
     impliesNotRun = responseAttributes.impliesNotRun();
     replaced = responseAttributes.replaced();
-    streaming =
-        expectsStream && received.status().code() == HttpResponseStatus.OK.code() && !notRun;
+    streaming = !notRun && isStream.test(received);
     listener.onProgress(this, streaming);
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/EventStream.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/EventStream.java
@@ -2,9 +2,12 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableList;
 import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 
@@ -61,6 +64,12 @@
     }
   }
 
+  /** Returns the media type of a response without its parameters, in lower case, if stated. */
+  public static Optional<String> typeOf(HttpResponse response) {
+    return Optional.ofNullable(HttpUtil.getMimeType(response))
+        .map(type -> Ascii.toLowerCase(type.toString().trim()));
+  }
+
   /** Appends a part of the body and returns the events that it completes. */
   public ImmutableList<Event> append(ByteBuf part) {
     ImmutableList.Builder<Event> events = ImmutableList.builder();
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
@@ -57,6 +58,7 @@
   private Optional<Slot> usedSlot = Optional.empty();
   private Optional<BackendAttempt> attempt = Optional.empty();
   private Optional<String> lastEventId;
+  private Optional<String> streamType = Optional.empty();
   private boolean done;
 
   ForwardedCall(
@@ -216,12 +218,18 @@
             request.content().retainedDuplicate(),
             headers,
             EmptyHttpHeaders.INSTANCE);
-    BackendAttempt next =
-        new BackendAttempt(backend, attributes.requestId(), route.isStreaming(), this);
+    BackendAttempt next = new BackendAttempt(backend, attributes.requestId(), this::isStream, this);
     attempt = Optional.of(next);
     next.send(services.connections(), sent);
   }
 
+  /** Returns whether a response is the caller's stream, or may go on with what has begun of it. */
+  private boolean isStream(HttpResponse response) {
+    return route.isStreaming()
+        && response.status().code() == HttpResponseStatus.OK.code()
+        && (!failover.isResponseStarted() || streamType.equals(EventStream.typeOf(response)));
+  }
+
   private void onRefused(RefusalReason reason, long retryAfterMillis) {
     switch (failover.slotRefused(retryAfterMillis * NANOS_IN_MILLI, now())) {
       case FAIL -> endWithoutResult("no slot: " + reason);
@@ -385,6 +393,7 @@
     }
     if (!failover.isResponseStarted()) {
       failover.responseStarted();
+      streamType = EventStream.typeOf(response);
       recordStage(FleetMetrics.Stage.FIRST_PIECE);
       HttpHeaders headers = HopByHopHeaders.removeFrom(response.headers());
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
