Build online calls and their responses in one place

What stood twice: ChatResource and ServicesResource each built a BackendRequest and an OnlineCall from the route and the caller, and each turned a FullResponse into the caller's response. The four methods of ServicesResource each declared the same two path parameters only to pass them on.

Now: OnlineCalls builds the call and the response for both. ServicesResource reads the path parameters once, from the URI of the request, where the annotations read them too (decoded).

No behaviour changes and no test is changed.

--- a/server/src/main/java/org/trefoilbarrow/transport/http/ChatResource.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/http/ChatResource.java
@@ -19,14 +19,12 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import org.trefoilbarrow.coordination.backend.WorkClass;
 import org.trefoilbarrow.operators.RouteSpec;
 import org.trefoilbarrow.operators.RouteType;
 import org.trefoilbarrow.protocol.ErrorKind;
 import org.trefoilbarrow.protocol.ServiceException;
 import org.trefoilbarrow.settings.LimitsSettings;
-import org.trefoilbarrow.transport.backend.BackendRequest;
 import org.trefoilbarrow.transport.backend.FullResponse;
 import org.trefoilbarrow.transport.backend.OnlineCall;
 import org.trefoilbarrow.transport.backend.OnlineDispatcher;
@@ -87,7 +85,16 @@
     RouteSpec route = admission.findRoute(routes, model, RouteType.MODEL, authorization);
     Caller caller = admission.authenticate(authorization, route);
     admission.acquireToken(caller);
-    OnlineCall call = newCall(context, model, route, caller, request, bytes);
+    OnlineCall call =
+        OnlineCalls.of(
+            context,
+            caller,
+            model,
+            route,
+            PATH,
+            MediaType.APPLICATION_JSON,
+            withTarget(model, route, request, bytes),
+            affinity(request));
     boolean streamed = request.path("stream").asBoolean(false);
     try {
       return streamed
@@ -105,32 +112,6 @@
     }
   }
 
-  private static OnlineCall newCall(
-      ContainerRequestContext context,
-      String model,
-      RouteSpec route,
-      Caller caller,
-      ObjectNode request,
-      byte[] bytes) {
-    BackendRequest backendRequest =
-        BackendRequest.of(
-            RequestIdFilter.of(context),
-            "POST",
-            PATH,
-            MediaType.APPLICATION_JSON,
-            withTarget(model, route, request, bytes),
-            route.idempotent(),
-            Duration.ofMillis(route.timeoutMillis()));
-    return new OnlineCall(
-        model,
-        route,
-        backendRequest,
-        caller.organisation(),
-        caller.spec().weight(),
-        caller.spec().maxQueuedRequests(),
-        affinity(request));
-  }
-
   /** Returns the body with the name under which backend servers know the model. */
   private static byte[] withTarget(
       String model, RouteSpec route, ObjectNode request, byte[] bytes) {
@@ -158,10 +139,7 @@
       long elapsedNanos = System.nanoTime() - startNanos;
       metrics.of(caller.organisation()).onFirstByte(elapsedNanos);
       metrics.of(caller.organisation()).onServed(WorkClass.ONLINE, elapsedNanos);
-      return Response.status(response.status())
-          .type(response.contentType())
-          .entity(response.body())
-          .build();
+      return OnlineCalls.toResponse(response);
     }
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/http/ServicesResource.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/http/ServicesResource.java
@@ -10,21 +10,18 @@
 import jakarta.ws.rs.POST;
 import jakarta.ws.rs.PUT;
 import jakarta.ws.rs.Path;
-import jakarta.ws.rs.PathParam;
 import jakarta.ws.rs.container.ContainerRequestContext;
 import jakarta.ws.rs.core.Context;
 import jakarta.ws.rs.core.HttpHeaders;
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import java.io.InputStream;
-import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.trefoilbarrow.coordination.backend.WorkClass;
 import org.trefoilbarrow.operators.RouteSpec;
 import org.trefoilbarrow.operators.RouteType;
 import org.trefoilbarrow.protocol.ServiceException;
 import org.trefoilbarrow.settings.LimitsSettings;
-import org.trefoilbarrow.transport.backend.BackendRequest;
 import org.trefoilbarrow.transport.backend.FullResponse;
 import org.trefoilbarrow.transport.backend.OnlineCall;
 import org.trefoilbarrow.transport.backend.OnlineDispatcher;
@@ -64,63 +61,47 @@
 
   /** Forwards a GET request. */
   @GET
-  public Response get(
-      @Context ContainerRequestContext context,
-      @PathParam("route") String route,
-      @PathParam("rest") String rest)
-      throws InterruptedException {
-    return call(context, route, rest, InputStream.nullInputStream());
+  public Response get(@Context ContainerRequestContext context) throws InterruptedException {
+    return call(context, InputStream.nullInputStream());
   }
 
   /** Forwards a POST request. */
   @POST
-  public Response post(
-      @Context ContainerRequestContext context,
-      @PathParam("route") String route,
-      @PathParam("rest") String rest,
-      InputStream body)
+  public Response post(@Context ContainerRequestContext context, InputStream body)
       throws InterruptedException {
-    return call(context, route, rest, body);
+    return call(context, body);
   }
 
   /** Forwards a PUT request. */
   @PUT
-  public Response put(
-      @Context ContainerRequestContext context,
-      @PathParam("route") String route,
-      @PathParam("rest") String rest,
-      InputStream body)
+  public Response put(@Context ContainerRequestContext context, InputStream body)
       throws InterruptedException {
-    return call(context, route, rest, body);
+    return call(context, body);
   }
 
   /** Forwards a DELETE request. */
   @DELETE
-  public Response delete(
-      @Context ContainerRequestContext context,
-      @PathParam("route") String route,
-      @PathParam("rest") String rest)
-      throws InterruptedException {
-    return call(context, route, rest, InputStream.nullInputStream());
+  public Response delete(@Context ContainerRequestContext context) throws InterruptedException {
+    return call(context, InputStream.nullInputStream());
   }
 
-  private Response call(ContainerRequestContext context, String name, String rest, InputStream body)
+  private Response call(ContainerRequestContext context, InputStream body)
       throws InterruptedException {
     long startNanos = System.nanoTime();
+    String name = context.getUriInfo().getPathParameters().getFirst("route");
     String authorization = context.getHeaderString(HttpHeaders.AUTHORIZATION);
     RouteSpec route = admission.findRoute(routes, name, RouteType.SERVICE, authorization);
     Caller caller = admission.authenticate(authorization, route);
     byte[] bytes = RequestBodies.read(body, limits.maxBodyBytes());
     admission.acquireToken(caller);
-    OnlineCall call = newCall(context, name, route, rest, bytes, caller);
+    String contentType = context.getHeaderString(HttpHeaders.CONTENT_TYPE);
+    OnlineCall call =
+        OnlineCalls.of(context, caller, name, route, path(context), contentType, bytes, "");
     String idempotencyKey = context.getHeaderString("Idempotency-Key");
     try (RunningCalls.RunningCall running = runningCalls.register(caller.key())) {
       FullResponse response = send(call, idempotencyKey, running);
       metrics.of(caller.organisation()).onServed(WorkClass.ONLINE, System.nanoTime() - startNanos);
-      return Response.status(response.status())
-          .type(response.contentType())
-          .entity(response.body())
-          .build();
+      return OnlineCalls.toResponse(response);
     } catch (ServiceException e) {
       metrics.of(caller.organisation()).onFailed();
       throw e;
@@ -136,31 +117,10 @@
         : dispatcher.call(call, running::onSending);
   }
 
-  private static OnlineCall newCall(
-      ContainerRequestContext context,
-      String name,
-      RouteSpec route,
-      String rest,
-      byte[] body,
-      Caller caller) {
+  /** Returns the path and query at the backend server. */
+  private static String path(ContainerRequestContext context) {
+    String rest = context.getUriInfo().getPathParameters().getFirst("rest");
     String query = context.getUriInfo().getRequestUri().getRawQuery();
-    String path = "/" + rest + (query == null ? "" : "?" + query);
-    BackendRequest request =
-        BackendRequest.of(
-            RequestIdFilter.of(context),
-            context.getMethod(),
-            path,
-            context.getHeaderString(HttpHeaders.CONTENT_TYPE),
-            body,
-            route.idempotent(),
-            Duration.ofMillis(route.timeoutMillis()));
-    return new OnlineCall(
-        name,
-        route,
-        request,
-        caller.organisation(),
-        caller.spec().weight(),
-        caller.spec().maxQueuedRequests(),
-        "");
+    return "/" + rest + (query == null ? "" : "?" + query);
   }
 }
