Turn an unanswered platform read into its error in one place

What stood several times: the catch that turns a PlatformException into "the platform does not answer" (four times in FileStore and JobStore, once in ConfigurationStore); the error "file ... does not exist" (BatchesResource, FilesResource) and "batch ... does not exist" (BatchesResource, JobStore).

Now: PlatformReads.answerOf holds the catch; the stores hold the errors, and FileStore.get and JobStore.get return what exists or throw them. FileStore.find had no other caller and is gone. The catches that do something else (RecordedCalls, the discarded parts of an upload) stay.

No behaviour changes and no test is changed.

--- a/server/src/main/java/org/trefoilbarrow/transport/batch/FileStore.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/batch/FileStore.java
@@ -12,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.protocol.Digests;
@@ -28,6 +27,7 @@
 import org.trefoilbarrow.state.PlatformException;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.WriteOutcome;
+import org.trefoilbarrow.transport.platform.PlatformReads;
 
 /**
  * Input files of batch jobs in the platform.
@@ -93,13 +93,24 @@
   }
 
   /**
-   * Returns the manifest of an organisation's file, if it exists.
+   * Returns the manifest of an organisation's file.
    *
-   * @throws ServiceException if the platform does not answer
+   * @param id the identifier as the caller gave it, possibly empty
+   * @throws ServiceException if the file does not exist, or the platform does not answer
    */
-  public Optional<FileManifest> find(OrganisationId organisation, FileId fileId) {
-    return read(ObjectKind.FILE, objectName(organisation, fileId))
-        .map(object -> JsonCodec.decode(object.value(), FileManifest.class));
+  public FileManifest get(OrganisationId organisation, String id) {
+    if (id.isEmpty()) {
+      throw notFound(id);
+    }
+    String name = objectName(organisation, FileId.of(id));
+    return PlatformReads.answerOf(() -> platform.read(ObjectKind.FILE, name))
+        .map(object -> JsonCodec.decode(object.value(), FileManifest.class))
+        .orElseThrow(() -> notFound(id));
+  }
+
+  /** Returns the error for a file that does not exist. */
+  public static ServiceException notFound(String id) {
+    return new ServiceException(ErrorKind.NOT_FOUND, "file \"%s\" does not exist", id);
   }
 
   /** Returns the lines of one part of a file. */
@@ -123,14 +134,6 @@
     }
   }
 
-  private Optional<VersionedObject> read(ObjectKind kind, String name) {
-    try {
-      return platform.read(kind, name);
-    } catch (PlatformException e) {
-      throw unavailable(e);
-    }
-  }
-
   private long storeLines(InputStream content, PartWriter parts, int maxItems) throws IOException {
     Set<Long> seenIdHashes = new HashSet<>();
     BoundedLines lines =
@@ -167,11 +170,6 @@
     }
   }
 
-  static ServiceException unavailable(PlatformException cause) {
-    return new ServiceException(
-        ErrorKind.PLATFORM_UNAVAILABLE, cause, "the platform does not answer");
-  }
-
   private static String objectName(OrganisationId organisation, FileId fileId) {
     return organisation + "/" + fileId;
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/batch/JobStore.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/batch/JobStore.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -33,6 +32,7 @@
 import org.trefoilbarrow.state.PlatformException;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.WriteOutcome;
+import org.trefoilbarrow.transport.platform.PlatformReads;
 
 /**
  * Batch jobs in the platform: submission, progress, results and cancellation. Thread-safe.
@@ -114,21 +114,24 @@
     return read(organisation, jobId).map(JobStore::decode);
   }
 
+  /**
+   * Returns a job of an organisation.
+   *
+   * @throws ServiceException if the job does not exist, or the platform does not answer
+   */
+  public JobManifest get(OrganisationId organisation, JobId jobId) {
+    return find(organisation, jobId).orElseThrow(() -> notFound(jobId));
+  }
+
   /** Returns the jobs of an organisation, the newest first. */
   public ImmutableList<JobManifest> list(OrganisationId organisation) {
-    try {
-      return CollectionReader.readAll(platform, ObjectKind.JOB, organisation + "/")
-          .objects()
-          .stream()
-          .map(JobStore::decode)
-          .sorted(
-              Comparator.comparingLong(JobManifest::createdAtSeconds)
-                  .reversed()
-                  .thenComparing(job -> job.jobId().value()))
-          .collect(ImmutableList.toImmutableList());
-    } catch (PlatformException e) {
-      throw FileStore.unavailable(e);
-    }
+    return readAll(ObjectKind.JOB, organisation + "/").stream()
+        .map(JobStore::decode)
+        .sorted(
+            Comparator.comparingLong(JobManifest::createdAtSeconds)
+                .reversed()
+                .thenComparing(job -> job.jobId().value()))
+        .collect(ImmutableList.toImmutableList());
   }
 
   /**
@@ -180,16 +183,9 @@
 
   /** Returns the records of a job's segments that were ever claimed, in order. */
   public List<SegmentState> segments(JobId jobId) {
-    try {
-      List<SegmentState> states = new ArrayList<>();
-      for (VersionedObject object :
-          CollectionReader.readAll(platform, ObjectKind.SEGMENT, jobId + "/").objects()) {
-        states.add(JsonCodec.decode(object.value(), SegmentState.class));
-      }
-      return states;
-    } catch (PlatformException e) {
-      throw FileStore.unavailable(e);
-    }
+    return readAll(ObjectKind.SEGMENT, jobId + "/").stream()
+        .map(object -> JsonCodec.decode(object.value(), SegmentState.class))
+        .toList();
   }
 
   static String objectName(OrganisationId organisation, JobId jobId) {
@@ -227,12 +223,7 @@
 
   private JobManifest end(OrganisationId organisation, JobId jobId, JobState state) {
     while (true) {
-      VersionedObject object =
-          read(organisation, jobId)
-              .orElseThrow(
-                  () ->
-                      new ServiceException(
-                          ErrorKind.NOT_FOUND, "batch \"%s\" does not exist", jobId));
+      VersionedObject object = read(organisation, jobId).orElseThrow(() -> notFound(jobId));
       JobManifest current = decode(object);
       if (current.state() != JobState.IN_PROGRESS) {
         jobs.apply(current, object.version());
@@ -265,11 +256,16 @@
   }
 
   private Optional<VersionedObject> read(OrganisationId organisation, JobId jobId) {
-    try {
-      return platform.read(ObjectKind.JOB, objectName(organisation, jobId));
-    } catch (PlatformException e) {
-      throw FileStore.unavailable(e);
-    }
+    return PlatformReads.answerOf(
+        () -> platform.read(ObjectKind.JOB, objectName(organisation, jobId)));
+  }
+
+  private List<VersionedObject> readAll(ObjectKind kind, String prefix) {
+    return PlatformReads.answerOf(() -> CollectionReader.readAll(platform, kind, prefix).objects());
+  }
+
+  private static ServiceException notFound(JobId jobId) {
+    return new ServiceException(ErrorKind.NOT_FOUND, "batch \"%s\" does not exist", jobId);
   }
 
   private static JobId newJobId(OrganisationId organisation, @Nullable String idempotencyKey) {
--- a/server/src/main/java/org/trefoilbarrow/transport/http/BatchesResource.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/http/BatchesResource.java
@@ -22,7 +22,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
@@ -31,7 +30,6 @@
 import org.trefoilbarrow.coordination.batch.DueForecast;
 import org.trefoilbarrow.operators.BatchRuleSpec;
 import org.trefoilbarrow.protocol.ErrorKind;
-import org.trefoilbarrow.protocol.FileId;
 import org.trefoilbarrow.protocol.FileManifest;
 import org.trefoilbarrow.protocol.JobId;
 import org.trefoilbarrow.protocol.JobManifest;
@@ -152,15 +150,7 @@
           endpoint,
           ENDPOINT);
     }
-    String fileId = request.path("input_file_id").asText("");
-    FileManifest file =
-        Optional.of(fileId)
-            .filter(id -> !id.isEmpty())
-            .flatMap(id -> files.find(caller.organisation(), FileId.of(id)))
-            .orElseThrow(
-                () ->
-                    new ServiceException(
-                        ErrorKind.NOT_FOUND, "file \"%s\" does not exist", fileId));
+    FileManifest file = files.get(caller.organisation(), request.path("input_file_id").asText(""));
     long windowSeconds = parseWindow(request.path("completion_window").asText("24h"));
     int maxAttempts =
         FilesResource.batchRule(configuration, caller)
@@ -196,10 +186,7 @@
   public BatchResponse get(
       @HeaderParam(HttpHeaders.AUTHORIZATION) String authorization, @PathParam("id") String id) {
     Caller caller = admission.authenticate(authorization);
-    JobManifest job =
-        jobs.find(caller.organisation(), JobId.of(id))
-            .orElseThrow(
-                () -> new ServiceException(ErrorKind.NOT_FOUND, "batch \"%s\" does not exist", id));
+    JobManifest job = jobs.get(caller.organisation(), JobId.of(id));
     return response(job, jobs.progress(job));
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/http/FilesResource.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/http/FilesResource.java
@@ -24,11 +24,9 @@
 import org.apache.commons.fileupload2.core.FileItemInputIterator;
 import org.apache.commons.fileupload2.core.FileUploadException;
 import org.apache.commons.fileupload2.jakarta.servlet6.JakartaServletFileUpload;
-import org.jspecify.annotations.Nullable;
 import org.trefoilbarrow.operators.BatchRuleSpec;
 import org.trefoilbarrow.operators.EntityKind;
 import org.trefoilbarrow.protocol.ErrorKind;
-import org.trefoilbarrow.protocol.FileId;
 import org.trefoilbarrow.protocol.FileManifest;
 import org.trefoilbarrow.protocol.JobManifest;
 import org.trefoilbarrow.protocol.ServiceException;
@@ -127,8 +125,7 @@
   public FileResponse get(
       @HeaderParam(HttpHeaders.AUTHORIZATION) String authorization, @PathParam("id") String id) {
     Caller caller = admission.authenticate(authorization);
-    return FileResponse.of(
-        files.find(caller.organisation(), FileId.of(id)).orElseThrow(() -> notFound(id)));
+    return FileResponse.of(files.get(caller.organisation(), id));
   }
 
   /** Returns the content of an input file, or the results of a job. */
@@ -152,14 +149,13 @@
   private StreamingOutput results(Caller caller, String id) {
     JobManifest job =
         jobs.find(caller.organisation(), ResultFileIds.jobOf(id).orElseThrow())
-            .orElseThrow(() -> notFound(id));
+            .orElseThrow(() -> FileStore.notFound(id));
     boolean errors = ResultFileIds.isErrors(id);
     return output -> jobs.writeResults(job, errors, output);
   }
 
   private StreamingOutput input(Caller caller, String id) {
-    FileManifest file =
-        files.find(caller.organisation(), FileId.of(id)).orElseThrow(() -> notFound(id));
+    FileManifest file = files.get(caller.organisation(), id);
     return output -> files.writeContent(file, output);
   }
 
@@ -178,8 +174,4 @@
         .filter(rule -> rule.organisation().equals(caller.organisation().value()))
         .findFirst();
   }
-
-  private static ServiceException notFound(@Nullable String id) {
-    return new ServiceException(ErrorKind.NOT_FOUND, "file \"%s\" does not exist", id);
-  }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/ConfigurationStore.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/ConfigurationStore.java
@@ -15,7 +15,6 @@
 import org.trefoilbarrow.state.ObjectChange;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.Platform;
-import org.trefoilbarrow.state.PlatformException;
 import org.trefoilbarrow.state.VersionedEntity;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.WriteOutcome;
@@ -43,13 +42,9 @@
 
   /** Returns an entity as stored in the platform, if it exists. */
   public Optional<VersionedEntity> read(EntityReference reference) {
-    try {
-      return platform
-          .read(ObjectKind.CONFIGURATION, reference.objectName())
-          .map(ConfigurationStore::decode);
-    } catch (PlatformException e) {
-      throw new ServiceException(ErrorKind.PLATFORM_UNAVAILABLE, e, "the platform does not answer");
-    }
+    return PlatformReads.answerOf(
+            () -> platform.read(ObjectKind.CONFIGURATION, reference.objectName()))
+        .map(ConfigurationStore::decode);
   }
 
   /**
