Accrue the tokens of both buckets in one class

What stood twice: TokenBucket and AdjustableTokenBucket held the same level, the same accrual up to the capacity, the same acquisition and the same check of the fraction.

Now: AccruingTokens holds them. The buckets keep what differs: the fraction that is fixed and the empty start, or the fraction that may change and the half-full start.

No behaviour changes and no test is changed.

--- a/server/src/main/java/org/trefoilbarrow/coordination/token/AdjustableTokenBucket.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/token/AdjustableTokenBucket.java
@@ -1,7 +1,5 @@
 package org.trefoilbarrow.coordination.token;
 
-import static com.google.common.base.Preconditions.checkArgument;
-
 /**
  * A token bucket for a fraction of a grant that may change, initially half full. Not thread-safe.
  *
@@ -11,13 +9,12 @@
 public final class AdjustableTokenBucket {
   private static final double INITIAL_FILL_FRACTION = 0.5;
 
-  private double level;
-  private long advancedToNanos;
+  private final AccruingTokens tokens;
   private boolean initialised;
 
   /** Creates a half-full bucket. */
   public AdjustableTokenBucket(long nowNanos) {
-    this.advancedToNanos = nowNanos;
+    this.tokens = new AccruingTokens(nowNanos);
   }
 
   /**
@@ -26,19 +23,11 @@
    * @param fraction the fraction of the grant that accrues in this bucket, above 0 and at most 1
    */
   public boolean tryAcquire(Grant grant, double fraction, long nowNanos) {
-    checkArgument(
-        fraction > 0 && fraction <= 1, "fraction must be above 0 and at most 1: %s", fraction);
+    AccruingTokens.checkFraction(fraction);
     if (!initialised) {
       initialised = true;
-      level = grant.capacity(fraction) * INITIAL_FILL_FRACTION;
-    }
-    double accrued = grant.accrued(fraction, nowNanos - advancedToNanos);
-    level = Math.min(grant.capacity(fraction), level + accrued);
-    advancedToNanos = Math.max(advancedToNanos, nowNanos);
-    if (level < 1) {
-      return false;
+      tokens.setLevel(grant.capacity(fraction) * INITIAL_FILL_FRACTION);
     }
-    level -= 1;
-    return true;
+    return tokens.tryAcquire(grant, fraction, nowNanos);
   }
 }
