Split the requests for loans and delegations from TokenService

Two places chose between the own handler and the directory for the same exchange, and two chose the owner of a resource in the same way.

Now: LoanRequester and DelegationRequester hold the two kinds of requests, PeerExchange the exchange with any host, this one included, and the choice of the owner. TokenService keeps the callers, the threads and their wake-ups.

No behaviour changes and no test is changed.

--- a/server/src/main/java/org/trefoilbarrow/transport/peer/package-info.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/peer/package-info.java
@@ -3,7 +3,9 @@
  * that are not connected to the platform.
  *
  * <p>Read first {@link org.trefoilbarrow.transport.peer.TokenService}, which acquires tokens for
- * callers, then {@link org.trefoilbarrow.transport.peer.PeerServiceHandler}, which answers other
- * hosts, and {@link org.trefoilbarrow.transport.peer.PermitBorrower}.
+ * callers through {@link org.trefoilbarrow.transport.peer.LoanRequester} and {@link
+ * org.trefoilbarrow.transport.peer.DelegationRequester}, then {@link
+ * org.trefoilbarrow.transport.peer.PeerServiceHandler}, which answers other hosts, and {@link
+ * org.trefoilbarrow.transport.peer.PermitBorrower}.
  */
 package org.trefoilbarrow.transport.peer;
