Split the components of online requests and batch jobs from HostModule

Now BackendModule creates those that send online requests to backend servers, BatchModule those that store and run batch jobs, and HostModule the rest: clocks, the platform, membership, shares and tokens. The providers are moved as they were.

No behaviour changes and no test is changed.

--- a/server/src/main/java/org/trefoilbarrow/command/ServerApplication.java
+++ b/server/src/main/java/org/trefoilbarrow/command/ServerApplication.java
@@ -83,7 +83,11 @@
     guice =
         GuiceBundle.builder()
             .modules(
-                new HostModule(settings, identity), new EnvironmentModule(), new ReportModule())
+                new HostModule(settings, identity),
+                new BackendModule(settings, identity),
+                new BatchModule(settings, identity),
+                new EnvironmentModule(),
+                new ReportModule())
             .extensions(
                 ChatResource.class,
                 ModelsResource.class,
