Share the engines, settings, jobs and clients of benchmarks

What stood several times: the client of streamed requests (five benchmarks), the settings of quiet hosts (nine), the engine of 40 ms and 5 ms (four; two more with other times), the submission of a job (four) and the plot of the times to the first byte (two).

Now: BenchmarkFleets holds the settings, engines and the submission, StreamTimes its client, Plots the plot. The items of PriorityBenchmark and OrganisationsBenchmark are named hinge-N, no longer lot-N, as in the others; their prompts are as before.

--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/BatchBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/BatchBenchmark.java
@@ -1,6 +1,5 @@
 package org.trefoilbarrow.benchmarks;
 
-import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -27,8 +26,6 @@
 final class BatchBenchmark implements BenchmarkMain.Benchmark {
   private static final int ENGINES = 2;
   private static final int PERMITS = 24;
-  private static final int FIRST_TOKEN_MILLIS = 40;
-  private static final int TOKEN_MILLIS = 5;
   private static final int TOKENS = 13;
   private static final Duration DIRECT_LOAD_TIME = Duration.ofSeconds(6);
 
@@ -55,7 +52,7 @@
     List<EngineStandIn> engines = new ArrayList<>();
     ExecutorService callers = Executors.newFixedThreadPool(ENGINES * PERMITS);
     for (int i = 0; i < ENGINES; i++) {
-      engines.add(EngineStandIn.start(0, profile()));
+      engines.add(EngineStandIn.start(0, BenchmarkFleets.engine(PERMITS)));
     }
     long end = System.nanoTime() + DIRECT_LOAD_TIME.toNanos();
     for (int i = 0; i < ENGINES * PERMITS; i++) {
@@ -75,25 +72,16 @@
     return ended ? responses.get() / (double) DIRECT_LOAD_TIME.toSeconds() : 0;
   }
 
-  private static EngineProfile profile() {
-    return new EngineProfile(
-        ImmutableList.of("echo"), PERMITS, FIRST_TOKEN_MILLIS, TOKEN_MILLIS, PERMITS, 0, 500);
-  }
-
   private static void runJob(int hosts, int items, double capacity) {
-    EngineProfile profile = profile();
+    EngineProfile profile = BenchmarkFleets.engine(PERMITS);
     try (Fleet fleet =
-        Fleet.start(
-            "\"logging\": {\"level\": \"warn\"}," + Fleet.SHORT_WARM_UP_SETTINGS,
-            hosts,
-            profile,
-            profile)) {
+        Fleet.start(BenchmarkFleets.QUIET_SHORT_WARM_UP_SETTINGS, hosts, profile, profile)) {
       fleet.configure(OrganisationSpec.of(100_000, 100_000), PERMITS, PERMITS);
       // Warm up with a small job.
-      awaitEnd(fleet, submit(fleet, "warm", 600), 600);
+      awaitEnd(fleet, BenchmarkFleets.submit(fleet, "warm", 600, TOKENS), 600);
       long writesBefore = fleet.platform().writes();
       long bytesBefore = fleet.platform().bytesWritten();
-      String job = submit(fleet, "measured", items);
+      String job = BenchmarkFleets.submit(fleet, "measured", items, TOKENS);
       long writesSubmitted = fleet.platform().writes();
       long start = System.nanoTime();
       awaitEnd(fleet, job, items);
@@ -118,14 +106,6 @@
     return (fleet.platform().writes() - before) / 5.0;
   }
 
-  private static String submit(Fleet fleet, String name, int items) {
-    StringBuilder content = new StringBuilder();
-    for (int i = 0; i < items; i++) {
-      content.append(ApiClient.item(name + "-" + i, name + " report " + i, TOKENS));
-    }
-    return fleet.caller(0).submit(content.toString()).json().path("id").asText();
-  }
-
   private static void awaitEnd(Fleet fleet, String job, int items) {
     Eventually.that("job ends", () -> fleet.caller(0).countDoneItems(job) == items);
   }
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/ChoiceBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/ChoiceBenchmark.java
@@ -1,10 +1,8 @@
 package org.trefoilbarrow.benchmarks;
 
 import com.google.common.base.Strings;
-import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Random;
@@ -18,7 +16,6 @@
 import org.trefoilbarrow.operators.OrganisationSpec;
 import org.trefoilbarrow.settings.BackendsSettings;
 import org.trefoilbarrow.standins.EngineProfile;
-import org.trefoilbarrow.transport.backend.HttpClients;
 
 /**
  * Compares the policies for choosing a backend server, with prompts that share prefixes and engines
@@ -30,9 +27,8 @@
   private static final int PREFIXES = 60;
   private static final int CACHED_PREFIXES = 20;
   private static final int PREFIX_LENGTH = 600;
-  private static final int CONNECTIONS = 512;
 
-  private final CloseableHttpClient client = HttpClients.pooled(Duration.ofSeconds(2), CONNECTIONS);
+  private final CloseableHttpClient client = StreamTimes.newClient();
 
   @Override
   public void run(String[] arguments, Path output) throws IOException, InterruptedException {
@@ -62,8 +58,8 @@
   private StreamTimes measure(BackendsSettings.Choice choice, int hosts, int rate, int seconds)
       throws InterruptedException {
     String settings =
-        "\"logging\": {\"level\": \"warn\"},"
-            + "\"backends\": {\"coldForMillis\": 100, \"rampForMillis\": 500, \"choice\": \""
+        BenchmarkFleets.QUIET_SETTINGS
+            + ",\"backends\": {\"coldForMillis\": 100, \"rampForMillis\": 500, \"choice\": \""
             + choice
             + "\"}";
     try (Fleet fleet = Fleet.start(settings, hosts, engine(1), engine(1), engine(2))) {
@@ -76,8 +72,7 @@
   }
 
   private static EngineProfile engine(int slowness) {
-    return new EngineProfile(
-            ImmutableList.of("echo"), PERMITS, 80L * slowness, 8L * slowness, PERMITS, 0, 500)
+    return BenchmarkFleets.engine(PERMITS, 80L * slowness, 8L * slowness)
         .withCachedPrefixes(CACHED_PREFIXES);
   }
 
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/ConfigurationBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/ConfigurationBenchmark.java
@@ -42,7 +42,7 @@
     OptionSpec<Integer> changes = Options.number(parser, "changes", 200);
     OptionSet options = parser.parse(arguments);
     Map<String, Histogram> times = new LinkedHashMap<>();
-    try (Fleet fleet = Fleet.start("\"logging\": {\"level\": \"warn\"}", options.valueOf(hosts))) {
+    try (Fleet fleet = Fleet.start(BenchmarkFleets.QUIET_SETTINGS, options.valueOf(hosts))) {
       fleet.configure(OrganisationSpec.of(100, 100));
       final long heapBeforeMib = liveHeapMib(fleet.host(0));
       times.put("small", measure(fleet, options.valueOf(changes)));
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/ControlBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/ControlBenchmark.java
@@ -48,7 +48,7 @@
     for (int hostCount : numbers(options.valueOf(hosts))) {
       XYSeries series = new XYSeries(hostCount + " hosts");
       bytes.addSeries(series);
-      try (Fleet fleet = Fleet.start("\"logging\": {\"level\": \"warn\"}", hostCount)) {
+      try (Fleet fleet = Fleet.start(BenchmarkFleets.QUIET_SETTINGS, hostCount)) {
         fleet.configure(OrganisationSpec.of(100, 100));
         int configured = 0;
         for (int used : numbers(options.valueOf(organisations))) {
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/LatencyBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/LatencyBenchmark.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import joptsimple.OptionParser;
@@ -15,7 +14,6 @@
 import org.trefoilbarrow.fleet.Fleet;
 import org.trefoilbarrow.operators.OrganisationSpec;
 import org.trefoilbarrow.standins.EngineProfile;
-import org.trefoilbarrow.transport.backend.HttpClients;
 
 /**
  * Measures the latency that a host adds to plain and streamed responses: the same load is sent in
@@ -23,9 +21,8 @@
  */
 final class LatencyBenchmark implements BenchmarkMain.Benchmark {
   private static final int TOKENS = 8;
-  private static final int CONNECTIONS = 512;
 
-  private final CloseableHttpClient client = HttpClients.pooled(Duration.ofSeconds(2), CONNECTIONS);
+  private final CloseableHttpClient client = StreamTimes.newClient();
 
   @Override
   public void run(String[] arguments, Path output) throws IOException, InterruptedException {
@@ -36,7 +33,7 @@
     OptionSet options = parser.parse(arguments);
     EngineProfile profile =
         new EngineProfile(ImmutableList.of("echo", Fleet.MODEL), 128, 10, 4, 128, 0, 500);
-    try (Fleet fleet = Fleet.start("\"logging\": {\"level\": \"warn\"}", 1, profile)) {
+    try (Fleet fleet = Fleet.start(BenchmarkFleets.QUIET_SETTINGS, 1, profile)) {
       fleet.configure(OrganisationSpec.of(5000, 5000), 256, 256);
       System.out.printf(
           "memory at rest: %d MiB resident%n", ProcessStats.residentMib(fleet.host(0).processId()));
@@ -61,9 +58,7 @@
         }
       }
       print(times);
-      Map<String, Histogram> firsts = new LinkedHashMap<>();
-      times.forEach((name, t) -> firsts.put(name, t.firstByteMicros));
-      Plots.percentiles(output.resolve("latency.png"), "time to the first byte", firsts);
+      Plots.firstBytes(output.resolve("latency.png"), "time to the first byte", times);
       System.out.printf(
           "memory after load: %d MiB resident%n",
           ProcessStats.residentMib(fleet.host(0).processId()));
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/LossBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/LossBenchmark.java
@@ -1,6 +1,5 @@
 package org.trefoilbarrow.benchmarks;
 
-import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -8,7 +7,6 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
-import org.trefoilbarrow.fleet.ApiClient;
 import org.trefoilbarrow.fleet.Eventually;
 import org.trefoilbarrow.fleet.Fleet;
 import org.trefoilbarrow.fleet.HostProcess;
@@ -35,13 +33,10 @@
     OptionParser parser = new OptionParser();
     OptionSpec<Integer> rounds = Options.number(parser, "rounds", 4);
     OptionSet options = parser.parse(arguments);
-    EngineProfile profile =
-        new EngineProfile(ImmutableList.of("echo"), PERMITS, 40, 5, PERMITS, 0, 500);
+    EngineProfile profile = BenchmarkFleets.engine(PERMITS);
     System.out.printf(
         "%-22s %14s %12s %10s%n", "loss of the holder", "pause seconds", "run again", "results");
-    try (Fleet fleet =
-        Fleet.start(
-            "\"logging\": {\"level\": \"warn\"}," + Fleet.SHORT_WARM_UP_SETTINGS, HOSTS, profile)) {
+    try (Fleet fleet = Fleet.start(BenchmarkFleets.QUIET_SHORT_WARM_UP_SETTINGS, HOSTS, profile)) {
       fleet.configure(OrganisationSpec.of(100_000, 100_000), PERMITS, PERMITS);
       for (int round = 0; round < options.valueOf(rounds); round++) {
         measure(fleet, "restart-" + round, true);
@@ -51,11 +46,7 @@
   }
 
   private static void measure(Fleet fleet, String name, boolean restartsAtOnce) {
-    StringBuilder content = new StringBuilder();
-    for (int i = 0; i < ITEMS; i++) {
-      content.append(ApiClient.item(name + "-" + i, name + " report " + i, TOKENS));
-    }
-    final String job = fleet.caller(0).submit(content.toString()).json().path("id").asText();
+    final String job = BenchmarkFleets.submit(fleet, name, ITEMS, TOKENS);
     Eventually.that("job runs", () -> completed(fleet, name) > ITEMS / 3);
     int lost = holder(fleet);
     HostProcess process = fleet.host(lost);
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/OrganisationsBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/OrganisationsBenchmark.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -24,7 +23,6 @@
 import org.trefoilbarrow.operators.OrganisationSpec;
 import org.trefoilbarrow.protocol.Digests;
 import org.trefoilbarrow.standins.EngineProfile;
-import org.trefoilbarrow.transport.backend.HttpClients;
 
 /**
  * Measures the latency of the worst-served of several organisations: without contention, and while
@@ -37,21 +35,17 @@
   private static final int OFFERED_PER_SECOND = 16;
   private static final int PERMITS = 24;
   private static final int TOKENS = 10;
-  private static final int CONNECTIONS = 512;
 
-  private final CloseableHttpClient client = HttpClients.pooled(Duration.ofSeconds(2), CONNECTIONS);
+  private final CloseableHttpClient client = StreamTimes.newClient();
 
   @Override
   public void run(String[] arguments, Path output) throws IOException, InterruptedException {
     OptionParser parser = new OptionParser();
     OptionSpec<Integer> seconds = Options.number(parser, "seconds", 15);
     OptionSet options = parser.parse(arguments);
-    EngineProfile profile =
-        new EngineProfile(ImmutableList.of("echo"), PERMITS, 40, 5, PERMITS, 0, 500);
+    EngineProfile profile = BenchmarkFleets.engine(PERMITS);
     Map<String, Histogram> worst = new LinkedHashMap<>();
-    try (Fleet fleet =
-        Fleet.start(
-            "\"logging\": {\"level\": \"warn\"}," + Fleet.SHORT_WARM_UP_SETTINGS, HOSTS, profile)) {
+    try (Fleet fleet = Fleet.start(BenchmarkFleets.QUIET_SHORT_WARM_UP_SETTINGS, HOSTS, profile)) {
       fleet.configure(OrganisationSpec.of(100_000, 100_000), PERMITS, PERMITS);
       for (int i = 0; i < ORGANISATIONS; i++) {
         add(fleet, "o" + i, OrganisationSpec.of(RATE_PER_SECOND, RATE_PER_SECOND));
@@ -138,11 +132,7 @@
   }
 
   private static String submit(Fleet fleet) {
-    StringBuilder content = new StringBuilder();
-    for (int i = 0; i < 20_000; i++) {
-      content.append(ApiClient.item("lot-" + i, "hinge report " + i, TOKENS));
-    }
-    String job = fleet.caller(0).submit(content.toString()).json().path("id").asText();
+    String job = BenchmarkFleets.submit(fleet, "hinge", 20_000, TOKENS);
     Eventually.that("batch runs", () -> fleet.caller(0).countDoneItems(job) > 200);
     return job;
   }
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/PermitsBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/PermitsBenchmark.java
@@ -1,6 +1,5 @@
 package org.trefoilbarrow.benchmarks;
 
-import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -19,7 +18,6 @@
 import org.trefoilbarrow.fleet.Fleet;
 import org.trefoilbarrow.operators.OrganisationSpec;
 import org.trefoilbarrow.standins.EngineProfile;
-import org.trefoilbarrow.transport.backend.HttpClients;
 
 /**
  * Measures the throughput of one backend server's permits when callers use all hosts and when they
@@ -29,9 +27,8 @@
   private static final int TOKENS = 20;
   private static final int FIRST_TOKEN_MILLIS = 40;
   private static final int TOKEN_MILLIS = 8;
-  private static final int CONNECTIONS = 512;
 
-  private final CloseableHttpClient client = HttpClients.pooled(Duration.ofSeconds(2), CONNECTIONS);
+  private final CloseableHttpClient client = StreamTimes.newClient();
 
   @Override
   public void run(String[] arguments, Path output) throws IOException, InterruptedException {
@@ -42,21 +39,10 @@
     OptionSet options = parser.parse(arguments);
     int hostCount = options.valueOf(hosts);
     int permitCount = options.valueOf(permits);
-    EngineProfile profile =
-        new EngineProfile(
-            ImmutableList.of("echo"),
-            permitCount,
-            FIRST_TOKEN_MILLIS,
-            TOKEN_MILLIS,
-            permitCount,
-            0,
-            500);
+    EngineProfile profile = BenchmarkFleets.engine(permitCount, FIRST_TOKEN_MILLIS, TOKEN_MILLIS);
     Map<String, Histogram> firsts = new LinkedHashMap<>();
     try (Fleet fleet =
-        Fleet.start(
-            "\"logging\": {\"level\": \"warn\"}," + Fleet.SHORT_WARM_UP_SETTINGS,
-            hostCount,
-            profile)) {
+        Fleet.start(BenchmarkFleets.QUIET_SHORT_WARM_UP_SETTINGS, hostCount, profile)) {
       fleet.configure(new OrganisationSpec(100_000, 100_000, 1, 1000), permitCount, permitCount);
       System.out.printf(
           "%d hosts, one backend server with %d permits, as many callers%n",
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/Plots.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/Plots.java
@@ -1,5 +1,6 @@
 package org.trefoilbarrow.benchmarks;
 
+import com.google.common.collect.Maps;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
@@ -27,6 +28,12 @@
     write(file, title, "percentile", "milliseconds", data);
   }
 
+  /** Writes the percentiles of the times to the first byte, by the name of the load. */
+  static void firstBytes(Path file, String title, Map<String, StreamTimes> times)
+      throws IOException {
+    percentiles(file, title, Maps.transformValues(times, own -> own.firstByteMicros));
+  }
+
   /** Writes several series as lines over a common axis. */
   static void lines(
       Path file, String title, String horizontal, String vertical, XYSeriesCollection data)
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/PriorityBenchmark.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/PriorityBenchmark.java
@@ -1,22 +1,18 @@
 package org.trefoilbarrow.benchmarks;
 
-import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
-import org.HdrHistogram.Histogram;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.trefoilbarrow.fleet.ApiClient;
 import org.trefoilbarrow.fleet.Eventually;
 import org.trefoilbarrow.fleet.Fleet;
 import org.trefoilbarrow.operators.OrganisationSpec;
 import org.trefoilbarrow.standins.EngineProfile;
-import org.trefoilbarrow.transport.backend.HttpClients;
 
 /**
  * Measures the tail latency of online requests, at a steady rate and in bursts, with and without a
@@ -26,9 +22,8 @@
   private static final int PERMITS = 24;
   private static final int TOKENS = 10;
   private static final int BURST_SECONDS = 2;
-  private static final int CONNECTIONS = 512;
 
-  private final CloseableHttpClient client = HttpClients.pooled(Duration.ofSeconds(2), CONNECTIONS);
+  private final CloseableHttpClient client = StreamTimes.newClient();
 
   @Override
   public void run(String[] arguments, Path output) throws IOException, InterruptedException {
@@ -37,12 +32,11 @@
     OptionSpec<Integer> seconds = Options.number(parser, "seconds", 10);
     OptionSpec<Integer> rate = Options.number(parser, "rate", 20);
     OptionSet options = parser.parse(arguments);
-    EngineProfile profile =
-        new EngineProfile(ImmutableList.of("echo"), PERMITS, 40, 5, PERMITS, 0, 500);
+    EngineProfile profile = BenchmarkFleets.engine(PERMITS);
     Map<String, StreamTimes> times = new LinkedHashMap<>();
     try (Fleet fleet =
         Fleet.start(
-            "\"logging\": {\"level\": \"warn\"}," + Fleet.SHORT_WARM_UP_SETTINGS,
+            BenchmarkFleets.QUIET_SHORT_WARM_UP_SETTINGS,
             options.valueOf(hosts),
             profile,
             profile)) {
@@ -66,9 +60,7 @@
       }
     }
     print(times);
-    Map<String, Histogram> firsts = new LinkedHashMap<>();
-    times.forEach((name, t) -> firsts.put(name, t.firstByteMicros));
-    Plots.percentiles(output.resolve("priority.png"), "time to the first token", firsts);
+    Plots.firstBytes(output.resolve("priority.png"), "time to the first token", times);
   }
 
   private void load(Fleet fleet, int perSecond, int seconds, StreamTimes times)
@@ -82,11 +74,7 @@
   }
 
   private static String submit(Fleet fleet) {
-    StringBuilder content = new StringBuilder();
-    for (int i = 0; i < 30_000; i++) {
-      content.append(ApiClient.item("lot-" + i, "hinge report " + i, TOKENS));
-    }
-    String job = fleet.caller(0).submit(content.toString()).json().path("id").asText();
+    String job = BenchmarkFleets.submit(fleet, "hinge", 30_000, TOKENS);
     Eventually.that("batch runs", () -> fleet.caller(0).countDoneItems(job) > 500);
     return job;
   }
--- a/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/StreamTimes.java
+++ b/benchmarks/src/main/java/org/trefoilbarrow/benchmarks/StreamTimes.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.URI;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
@@ -11,6 +12,7 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.trefoilbarrow.fleet.Fleet;
+import org.trefoilbarrow.transport.backend.HttpClients;
 
 /**
  * Sends requests and records their times until the first byte, between chunks and until the end.
@@ -20,6 +22,8 @@
   private static final long MAX_MICROS = 60_000_000;
   private static final int OK = 200;
   private static final int BUFFER_BYTES = 8192;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final int CONNECTIONS = 512;
 
   final Histogram firstByteMicros = new ConcurrentHistogram(MAX_MICROS, 3);
   final Histogram betweenChunksMicros = new ConcurrentHistogram(MAX_MICROS, 3);
@@ -37,6 +41,11 @@
     this.callerKey = callerKey;
   }
 
+  /** Returns a client for requests in parallel; a request that cannot connect within 2 s fails. */
+  static CloseableHttpClient newClient() {
+    return HttpClients.pooled(CONNECT_TIMEOUT, CONNECTIONS);
+  }
+
   /** Sends a chat request and records its times, or a failure. */
   void request(CloseableHttpClient client, String address, String body) {
     HttpPost post = new HttpPost(URI.create(address + "/v1/chat/completions"));
