Split the running of items from BatchRunner

Now: ItemStarter runs the items of the segments held, with the thread, the pool, the slots and the attempts that belong to that. BatchRunner keeps the claims, the checkpoints, the commits and the end of jobs. Both jobs read the flag of the release of all segments; now each has its own.

--- a/server/src/main/java/org/trefoilbarrow/transport/batch/BatchRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/batch/BatchRunner.java
@@ -3,32 +3,23 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.trefoilbarrow.coordination.batch.Checkpoint;
 import org.trefoilbarrow.coordination.batch.JobChooser;
-import org.trefoilbarrow.operators.RouteSpec;
 import org.trefoilbarrow.protocol.JobId;
 import org.trefoilbarrow.protocol.JobManifest;
 import org.trefoilbarrow.protocol.OrganisationId;
-import org.trefoilbarrow.protocol.RequestId;
 import org.trefoilbarrow.protocol.SegmentId;
 import org.trefoilbarrow.protocol.SegmentState;
 import org.trefoilbarrow.protocol.ServiceException;
@@ -39,13 +30,11 @@
  * Runs batch jobs: claims segments, runs their items with the permits that online requests leave
  * free, and commits their results.
  *
- * <p>One thread claims segments, one starts items and one plans checkpoints; items and commits run
- * on thread pools. Thread-safe.
+ * <p>One thread claims segments and one plans checkpoints; commits run on a thread pool. {@link
+ * ItemStarter} runs the items. Thread-safe.
  */
 public final class BatchRunner implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration START_INTERVAL = Duration.ofMillis(5);
-  private static final Duration IDLE_INTERVAL = Duration.ofMillis(200);
   private static final Duration COMMIT_INTERVAL = Duration.ofMillis(50);
   private static final Duration CLAIM_INTERVAL = Duration.ofMillis(100);
   private static final int PENDING_ITEMS_PER_SLOT = 4;
@@ -55,24 +44,18 @@
   private final JobStore jobStore;
   private final SegmentStore segments;
   private final JobChooser chooser;
-  private final ItemRunner items;
   private final ToIntFunction<OrganisationId> weight;
   private final Predicate<SegmentState> isSuperseded;
-  private final ItemListener listener;
   private final int maxSegments;
   private final int maxItems;
   private final LongSupplier nanoClock;
   private final Map<SegmentId, RunningSegment> running = new ConcurrentHashMap<>();
   private final Set<SegmentId> committing = ConcurrentHashMap.newKeySet();
-  private final Semaphore itemSlots;
-  private final ExecutorService itemPool;
+  private final ItemStarter starter;
   private final ExecutorService commitPool;
   private final PeriodicTask claims;
   private final PeriodicTask checkpoints;
-  private final Semaphore startSignal = new Semaphore(0);
-  private final AtomicLong attempts = new AtomicLong();
   private volatile boolean stopping;
-  private volatile boolean closed;
 
   /** Is notified of each item that ended with a response. */
   @FunctionalInterface
@@ -98,16 +81,13 @@
     this.jobStore = checkNotNull(jobStore, "jobStore");
     this.segments = checkNotNull(segments, "segments");
     this.chooser = checkNotNull(chooser, "chooser");
-    this.items = checkNotNull(items, "items");
     this.weight = checkNotNull(weight, "weight");
     this.isSuperseded = checkNotNull(isSuperseded, "isSuperseded");
-    this.listener = checkNotNull(listener, "listener");
     this.maxSegments = maxSegments;
     this.maxItems = maxItems;
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
-    this.itemSlots = new Semaphore(maxItems);
-    this.itemPool = newPool("batch-item-%d");
-    this.commitPool = newPool("batch-commit-%d");
+    this.starter = new ItemStarter(running.values(), items, weight, listener, maxItems, nanoClock);
+    this.commitPool = ItemStarter.newPool("batch-commit-%d");
     this.claims = new PeriodicTask("batch-claims", CLAIM_INTERVAL, this::claim);
     this.checkpoints = new PeriodicTask("batch-checkpoints", COMMIT_INTERVAL, this::planCommits);
     jobs.addEndListener(this::onJobEnded);
@@ -116,7 +96,7 @@
   /** Starts to run jobs. */
   public void start() {
     claims.start();
-    daemon(this::startLoop, "batch-starts").start();
+    starter.start();
     checkpoints.start();
   }
 
@@ -127,12 +107,13 @@
 
   /** Returns the number of items in progress. */
   public int runningItems() {
-    return maxItems - itemSlots.availablePermits();
+    return starter.runningItems();
   }
 
   /** Commits the results so far and releases all segments, so that other hosts resume at once. */
   public void releaseSegments(Duration timeout) throws InterruptedException {
     stopping = true;
+    starter.stop();
     running.values().forEach(RunningSegment::stop);
     long deadlineNanos = nanoClock.getAsLong() + timeout.toNanos();
     while (!running.isEmpty() && nanoClock.getAsLong() < deadlineNanos) {
@@ -148,10 +129,9 @@
 
   @Override
   public void close() {
-    closed = true;
     claims.close();
     checkpoints.close();
-    itemPool.shutdownNow();
+    starter.close();
     commitPool.shutdownNow();
     try {
       boolean terminated =
@@ -166,17 +146,6 @@
     }
   }
 
-  private static ExecutorService newPool(String nameFormat) {
-    return Executors.newCachedThreadPool(
-        new ThreadFactoryBuilder().setNameFormat(nameFormat).setDaemon(true).build());
-  }
-
-  private static Thread daemon(Runnable work, String name) {
-    Thread thread = new Thread(work, name);
-    thread.setDaemon(true);
-    return thread;
-  }
-
   private void claim() {
     while (!stopping && running.size() < maxSegments && pendingItems() < targetPendingItems()) {
       Optional<JobManifest> job =
@@ -192,7 +161,7 @@
           // The job ended while the segment was claimed.
           segment.stop();
         }
-        startSignal.release();
+        starter.signal();
         continue;
       }
       chooser.onNothingClaimable(job.get().jobId(), nanoClock.getAsLong());
@@ -217,139 +186,6 @@
     return counts;
   }
 
-  private void startLoop() {
-    while (!closed) {
-      try {
-        Duration interval = running.isEmpty() ? IDLE_INTERVAL : START_INTERVAL;
-        startSignal.tryAcquire(interval.toMillis(), TimeUnit.MILLISECONDS);
-        startSignal.drainPermits();
-        startItems();
-      } catch (InterruptedException e) {
-        return;
-      } catch (RuntimeException e) {
-        logger.atSevere().withCause(e).log("batch: starting items failed; trying again");
-      }
-    }
-  }
-
-  /** Starts items, one for each organisation in turn, until no more can start. */
-  private void startItems() {
-    Set<SegmentId> blocked = new HashSet<>();
-    while (!stopping && itemSlots.availablePermits() > 0) {
-      Optional<RunningSegment> next = nextSegment(blocked);
-      if (next.isEmpty()) {
-        return;
-      }
-      if (!startItem(next.get())) {
-        blocked.add(next.get().progress().segment());
-      }
-    }
-  }
-
-  private Optional<RunningSegment> nextSegment(Set<SegmentId> blocked) {
-    Map<OrganisationId, Integer> inProgress = new HashMap<>();
-    for (RunningSegment segment : running.values()) {
-      inProgress.merge(
-          segment.job().organisation(), segment.progress().runningItems(), Integer::sum);
-    }
-    return running.values().stream()
-        .filter(segment -> !segment.isStopping())
-        .filter(segment -> !blocked.contains(segment.progress().segment()))
-        .min(
-            Comparator.comparingDouble(
-                    (RunningSegment segment) ->
-                        (double) inProgress.get(segment.job().organisation())
-                            / weight.applyAsInt(segment.job().organisation()))
-                .thenComparingLong(segment -> segment.job().dueAtSeconds()));
-  }
-
-  /** Starts one item of a segment; returns false if none can start now. */
-  private boolean startItem(RunningSegment segment) {
-    OptionalInt index = segment.progress().startNextItem(nanoClock.getAsLong());
-    if (index.isEmpty()) {
-      return false;
-    }
-    ItemLine item = segment.item(index.getAsInt());
-    OrganisationId organisation = segment.job().organisation();
-    String model = item.body().path("model").asText();
-    Optional<RouteSpec> route = items.route(organisation, model);
-    if (route.isEmpty()) {
-      String message = String.format("model \"%s\" does not exist", model);
-      RequestId id = newRequestId(segment, index.getAsInt());
-      segment
-          .progress()
-          .onFailed(
-              index.getAsInt(), ResultLine.failed(id, item.customId(), "model_not_found", message));
-      return true;
-    }
-    Optional<ItemRunner.Prepared> prepared = items.prepare(organisation, route.get());
-    if (prepared.isEmpty()) {
-      segment.progress().onYielded(index.getAsInt());
-      return false;
-    }
-    itemSlots.acquireUninterruptibly();
-    segment.addRequest(prepared.get().handle());
-    itemPool.execute(() -> runItem(segment, index.getAsInt(), item, route.get(), prepared.get()));
-    return true;
-  }
-
-  private void runItem(
-      RunningSegment segment,
-      int index,
-      ItemLine item,
-      RouteSpec route,
-      ItemRunner.Prepared prepared) {
-    long startNanos = nanoClock.getAsLong();
-    RequestId id = newRequestId(segment, index);
-    try {
-      ItemRunner.AttemptResult result = items.run(item, route, prepared, id);
-      record(segment, index, item, id, result);
-      if (result.outcome() == ItemRunner.Outcome.ANSWERED) {
-        listener.onItem(segment.job().organisation(), nanoClock.getAsLong() - startNanos);
-      }
-    } catch (RuntimeException e) {
-      logger.atSevere().withCause(e).log("batch: attempt %s failed unexpectedly", id);
-      ItemRunner.AttemptResult failed =
-          new ItemRunner.AttemptResult(
-              ItemRunner.Outcome.RETRY, "", String.valueOf(e.getMessage()));
-      record(segment, index, item, id, failed);
-    } finally {
-      segment.removeRequest(prepared.handle());
-      itemSlots.release();
-      startSignal.release();
-    }
-  }
-
-  private void record(
-      RunningSegment segment,
-      int index,
-      ItemLine item,
-      RequestId id,
-      ItemRunner.AttemptResult result) {
-    switch (result.outcome()) {
-      case ANSWERED -> segment.progress().onResult(index, result.line());
-      case FAILED -> segment.progress().onFailed(index, result.line());
-      case YIELDED -> segment.progress().onYielded(index);
-      case RETRY -> {
-        boolean retry = segment.progress().onAttemptFailed(index, nanoClock.getAsLong());
-        if (!retry) {
-          String line =
-              ResultLine.failed(id, item.customId(), "attempts_exhausted", result.cause());
-          segment.progress().onFailed(index, line);
-        }
-      }
-    }
-  }
-
-  private RequestId newRequestId(RunningSegment segment, int index) {
-    return RequestId.of(
-        String.format(
-            "%s-%d-%d",
-            segment.progress().segment().objectName().replace('/', '-'),
-            index,
-            attempts.incrementAndGet()));
-  }
-
   private void planCommits() {
     for (RunningSegment segment : List.copyOf(running.values())) {
       SegmentId id = segment.progress().segment();
