Handle each object of a collection by itself

What callers would see: one entry that cannot be decoded keeps a host from the backend servers listed after it, or from the removal of those that are gone, and nothing reads them again.

An entry with an empty zone did this ("failure domain identifier must not be empty"). Ruled out: the end of the event loop, which logs the exception of a task and goes on.

Evidence, before: BackendServerWatcherTest 2 of 2 "expected [a c] but found [a]"; ObjectWatchersTest 1 of 1 "expected [b] but found [null]"; PlatformDecoderTest, the row of the empty zone: "IllegalArgument failure domain identifier must not be empty".

--- a/server/src/main/java/org/trefoilbarrow/command/BackendServerWatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/command/BackendServerWatcher.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.HashMap;
@@ -32,6 +33,8 @@
   /** How long a missing entry is retained after an outage, so that it can be written again. */
   private static final Duration OUTAGE_RETENTION = Duration.ofMillis(1900);
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final EventLoop loop;
   private final FleetView fleet;
   private final FleetDecoder decoder;
@@ -117,8 +120,7 @@
       return;
     }
     versions.put(name, version);
-    Optional<BackendServer> backend =
-        decoder.decodeBackendServer(name, value, nanoClock.getAsLong());
+    Optional<BackendServer> backend = decode(name, version, value);
     if (backend.isEmpty()) {
       log.add("fleet", "unusable entry", "backend", name, "version", version);
       removeFromFleet(name);
@@ -141,6 +143,16 @@
     }
   }
 
+  private Optional<BackendServer> decode(String name, long version, String value) {
+    try {
+      return decoder.decodeBackendServer(name, value, nanoClock.getAsLong());
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log(
+          "fleet: entry \"%s\" at version %s cannot be decoded; ignoring it", name, version);
+      return Optional.empty();
+    }
+  }
+
   private void onMissing(String name) {
     long remainingNanos = OUTAGE_RETENTION.toNanos() - (nanoClock.getAsLong() - outageEndNanos);
     if (remainingNanos > 0) {
--- a/server/src/main/java/org/trefoilbarrow/command/ObjectWatchers.java
+++ b/server/src/main/java/org/trefoilbarrow/command/ObjectWatchers.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.HashSet;
@@ -17,6 +18,8 @@
 
 /** Creates watchers that pass the objects of a collection one by one to the event loop. */
 final class ObjectWatchers {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final Platform platform;
   private final EventLoop loop;
   private final Duration watchWait;
@@ -98,12 +101,22 @@
 
     private void put(VersionedObject object) {
       knownNames.add(object.name());
-      onPut.accept(object);
+      handle(object.name(), () -> onPut.accept(object));
     }
 
     private void delete(String name) {
       if (knownNames.remove(name)) {
-        onDelete.accept(name);
+        handle(name, () -> onDelete.accept(name));
+      }
+    }
+
+    /** Runs the handler of one object; its failure concerns none of the others. */
+    private void handle(String name, Runnable handler) {
+      try {
+        handler.run();
+      } catch (RuntimeException e) {
+        logger.atSevere().withCause(e).log(
+            "platform: cannot handle object \"%s\" of %s; ignoring it", name, kind.collection());
       }
     }
   }
