--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.math.IntMath;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -65,7 +66,7 @@
     int total = 0;
     for (BackendServer backend : usable(service)) {
       if (isCurrent(backend)) {
-        total += share.slotsOf(backend);
+        total = IntMath.saturatedAdd(total, share.slotsOf(backend));
       }
     }
     return total;
@@ -76,7 +77,9 @@
     int free = 0;
     for (BackendServer backend : usable(service)) {
       if (isCurrent(backend)) {
-        free += Math.max(0, share.slotsOf(backend) - load(backend.id()).running());
+        free =
+            IntMath.saturatedAdd(
+                free, Math.max(0, share.slotsOf(backend) - load(backend.id()).running()));
       }
     }
     return free;
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -240,7 +240,7 @@
       ServiceWork work = work(demand.service());
       int beingFreed =
           work.running().interruptibleCount(urgentSlots(total)) + work.running().revokedCount();
-      int excess = work.waiting().online().size() + 1 - slots.free(demand.service()) - beingFreed;
+      long excess = work.waiting().online().size() + 1L - slots.free(demand.service()) - beingFreed;
       double waitNanos = Math.max(0, excess) * work.waiting().serviceNanos() / total;
       if (nowNanos + waitNanos > demand.objectiveNanos()) {
         return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/SlotShare.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/SlotShare.java
@@ -55,9 +55,10 @@
     checkArgument(
         index >= 0 && index < hostCount, "index must be from 0 to %s: %s", hostCount - 1, index);
     Map<BackendServerId, Integer> slots = new HashMap<>();
-    Map<String, Integer> dealt = new HashMap<>();
+    Map<String, Long> dealt = new HashMap<>();
     for (BackendServer backend : sorted(backends)) {
-      int first = dealt.merge(backend.service(), backend.slots(), Integer::sum) - backend.slots();
+      long first =
+          dealt.merge(backend.service(), (long) backend.slots(), Long::sum) - backend.slots();
       slots.put(backend.id(), countDealt(first, backend.slots(), index, hostCount));
     }
     dealt.forEach(
@@ -75,14 +76,14 @@
   }
 
   /** Counts the numbers from {@code first} on, {@code count} of them, dealt to one host. */
-  private static int countDealt(int first, int count, int index, int hostCount) {
+  private static int countDealt(long first, int count, int index, int hostCount) {
     int offset = Math.floorMod(index - first, hostCount);
     return offset >= count ? 0 : (count - offset - 1) / hostCount + 1;
   }
 
   private static BackendServerId serverOfSlot(
-      Collection<BackendServer> backends, String service, int slot) {
-    int first = 0;
+      Collection<BackendServer> backends, String service, long slot) {
+    long first = 0;
     for (BackendServer backend : sorted(backends)) {
       if (backend.service().equals(service)) {
         first += backend.slots();
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -103,6 +103,17 @@
     return decisions.stream().filter(type::isInstance).count();
   }
 
+  @Test
+  public void submit_placesWorkThoughTheSumOfSlotsIsBeyondTheIntegerRange() {
+    backend("a", Integer.MAX_VALUE, true, 0);
+    backend("b", Integer.MAX_VALUE, true, 0);
+    List<Decision> decisions = new ArrayList<>();
+    for (int index = 0; index < 4; index++) {
+      decisions.addAll(dispatcher.submit(online(0, 100, false), 0));
+    }
+    assertEquals(count(decisions, Decision.Placed.class), 4);
+  }
+
   @Test
   public void submit_spreadsWorkOverTheLeastLoadedServers() {
     backend("a", 4, true, 0);
