Go on watching after an error in a watcher's thread

What callers would see: a host stops following a collection for good, without a line in its log.

Cause: the loop of a watcher caught exceptions only; an error (a stack overflow, memory that was short for a moment) ended its thread.

Evidence, before: CollectionWatcherTest, a handler that throws StackOverflowError or OutOfMemoryError: "expected [version 2] but found [null]" after 20 s, 2 of 3 rows. After: 4 tests, no failure.

--- a/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
@@ -102,6 +102,7 @@
     thread.interrupt();
   }
 
+  /** Follows the collection until closed. An error ends no more than one read or one watch. */
   private void run() {
     long revision = -1;
     Duration wait = watchWait;
@@ -115,7 +116,7 @@
         logger.atFine().log("platform: watch of %s failed: %s", kind.collection(), e.getMessage());
         wait = CATCH_UP_WAIT;
         backoff = backOffAfterOutage(backoff);
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         logger.atSevere().withCause(e).log(
             "platform: watch of %s failed; reading a snapshot", kind.collection());
         revision = -1;
--- a/server/src/test/java/org/trefoilbarrow/transport/platform/CollectionWatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/platform/CollectionWatcherTest.java
@@ -3,12 +3,15 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.base.Throwables;
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ObjectKind;
@@ -88,4 +91,36 @@
     assertEquals(waits.get(0), WAIT);
     assertTrue(waits.get(1).compareTo(Duration.ofSeconds(1)) < 0, "waited " + waits.get(1));
   }
+
+  @DataProvider
+  public Object[][] failures() {
+    return new Object[][] {
+      {new IllegalStateException("a handler failed")},
+      {new StackOverflowError("a handler recursed too deeply")},
+      {new OutOfMemoryError("a handler needed too much")}
+    };
+  }
+
+  @Test(dataProvider = "failures")
+  public void failedHandlerDoesNotEndTheWatch(Throwable failure) throws Exception {
+    BlockingQueue<String> snapshots = new LinkedBlockingQueue<>();
+    AtomicBoolean failed = new AtomicBoolean();
+    try (CollectionWatcher watcher =
+        new CollectionWatcher(
+            new HistoryDroppingPlatform(),
+            ObjectKind.CONFIGURATION,
+            page -> {
+              if (failed.compareAndSet(false, true)) {
+                Throwables.throwIfUnchecked(failure);
+              }
+              snapshots.add(page.objects().get(0).value());
+            },
+            batch -> {},
+            () -> {},
+            WAIT,
+            Duration.ZERO)) {
+      watcher.start();
+      assertEquals(snapshots.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "version 2");
+    }
+  }
 }
