Keep prompts that end backend servers from the others

Evidence: a request whose connection broke after it was sent and before its response began makes the host connect to the server once; if that is refused or times out, the host reports server, shared prompt parts and age to the dispatching host, with what it knows of the parts being sound. A host keeps its last reports and sends them again to a new dispatching host. The end of a demand says whether its response began. Enforcement: the dispatching host refuses demands with a quarantined part before their rate is charged, also those that wait; hosts refuse at arrival and check once more before they send. Batch items wait without a slot.

The answer is 400 prompt_quarantined, final and not run: callers don't repeat it.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -25,6 +25,8 @@
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.drain.DrainSchedule;
+import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
+import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.JsonCodec;
@@ -37,6 +39,7 @@
 import org.trefoilbarrow.transport.forward.EventLog;
 import org.trefoilbarrow.transport.forward.ForwardServices;
 import org.trefoilbarrow.transport.forward.Ingress;
+import org.trefoilbarrow.transport.forward.ServerEndDetector;
 import org.trefoilbarrow.transport.jobs.CallerJobGateway;
 import org.trefoilbarrow.transport.jobs.JobReadServer;
 import org.trefoilbarrow.transport.jobs.JobRunner;
@@ -156,15 +159,20 @@
             settings.linkPort(),
             settings.servesCallers(),
             milliClock.getAsLong());
+    PartQuarantine quarantine = new PartQuarantine(QuarantineRules.DEFAULT);
     Dispatcher dispatcher =
         new Dispatcher(
-            fleet, DispatchRules.DEFAULT, () -> ThreadLocalRandom.current().nextDouble());
+            fleet,
+            DispatchRules.DEFAULT,
+            () -> ThreadLocalRandom.current().nextDouble(),
+            quarantine);
     this.placements =
         new PlacementClient(
             loop,
             self,
             fleet,
             dispatcher,
+            quarantine,
             new TermStore(platform, executor, loop),
             this::canDispatch,
             this::isConnectedToPlatform,
@@ -187,11 +195,12 @@
             fleet,
             placements,
             new BackendConnections(loop, adapter.dialect(), nanoClock),
+            new ServerEndDetector(loop, nanoClock, placements::reportServerEnd),
             adapter.dialect(),
             log,
             metrics,
             nanoClock);
-    registerGauges(dispatcher);
+    registerGauges(dispatcher, quarantine);
   }
 
   /** Starts all components and registers the host at the platform. */
@@ -292,9 +301,10 @@
     }
   }
 
-  private void registerGauges(Dispatcher dispatcher) {
+  private void registerGauges(Dispatcher dispatcher, PartQuarantine quarantine) {
     metrics.gauge("dispatch_waiting", dispatcher::waitingCount);
     metrics.gauge("dispatch_running", dispatcher::runningCount);
+    metrics.gauge("quarantined_parts", () -> quarantine.count(nanoClock.getAsLong()));
     metrics.gauge("platform_calls", platform::callCount);
     metrics.gauge("log_lines_dropped", log::droppedCount);
     metrics.gauge("configuration_version", () -> fleet.catalog().map(Catalog::version).orElse(0L));
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Decision.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Decision.java
@@ -1,5 +1,6 @@
 package org.trefoilbarrow.coordination.dispatch;
 
+import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.protocol.BackendServerId;
 
 /** What the dispatcher decided about a demand: placed, refused or revoked. */
@@ -26,6 +27,14 @@
   record Refused(DemandId demand, RefusalReason reason, long retryAfterMillis)
       implements Decision {}
 
+  /**
+   * The demand gets no slot, since a part of its prompt is in quarantine.
+   *
+   * @param demand the demand
+   * @param verdict the part, and the time until its quarantine ends
+   */
+  record Quarantined(DemandId demand, PartQuarantine.Verdict verdict) implements Decision {}
+
   /**
    * Online work needs the slot of a running batch item: the item's runner must interrupt it and may
    * submit it again.
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Demand.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Demand.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.Set;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.protocol.PromptPartId;
 
 /**
  * Work that needs a slot at a backend server.
@@ -21,6 +23,7 @@
  * @param deadlineNanos the time after which the caller no longer waits
  * @param repeated whether the caller was refused before
  * @param excluded backend servers that must not get the work
+ * @param promptParts the parts of its prompt that other work may share, in their order
  */
 public record Demand(
     DemandId id,
@@ -31,7 +34,8 @@
     long objectiveNanos,
     long deadlineNanos,
     boolean repeated,
-    Set<BackendServerId> excluded) {
+    Set<BackendServerId> excluded,
+    ImmutableList<PromptPartId> promptParts) {
 
   /** Checks the components and copies the set. */
   public Demand {
@@ -39,5 +43,30 @@
     checkNotNull(service, "service");
     checkNotNull(organisation, "organisation");
     excluded = ImmutableSet.copyOf(excluded);
+    checkNotNull(promptParts, "promptParts");
+  }
+
+  /** Creates a demand whose prompt has no shared parts. */
+  public Demand(
+      DemandId id,
+      String service,
+      Optional<OrganisationId> organisation,
+      int priority,
+      boolean batch,
+      long objectiveNanos,
+      long deadlineNanos,
+      boolean repeated,
+      Set<BackendServerId> excluded) {
+    this(
+        id,
+        service,
+        organisation,
+        priority,
+        batch,
+        objectiveNanos,
+        deadlineNanos,
+        repeated,
+        excluded,
+        ImmutableList.of());
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.state.fleet.BackendServer;
@@ -40,6 +41,7 @@
 
   private final DispatchRules rules;
   private final DoubleSupplier random;
+  private final PartQuarantine quarantine;
   private final BackendSlots slots;
   private final RateLimits rateLimits;
   private final Map<DemandId, RunningWork.Entry> running = new HashMap<>();
@@ -55,10 +57,13 @@
    *
    * @param random supplies numbers from 0 to 1, which spread the retries of callers and break ties
    *     between servers
+   * @param quarantine the prompt parts whose demands get no slot
    */
-  public Dispatcher(FleetView fleet, DispatchRules rules, DoubleSupplier random) {
+  public Dispatcher(
+      FleetView fleet, DispatchRules rules, DoubleSupplier random, PartQuarantine quarantine) {
     this.rules = checkNotNull(rules, "rules");
     this.random = checkNotNull(random, "random");
+    this.quarantine = checkNotNull(quarantine, "quarantine");
     this.slots = new BackendSlots(fleet, rules, random);
     this.rateLimits = new RateLimits(fleet);
   }
@@ -78,6 +83,10 @@
     if (waiting.containsKey(demand.id()) || running.containsKey(demand.id())) {
       return ImmutableList.of();
     }
+    Optional<Decision> quarantined = quarantined(demand, nowNanos);
+    if (quarantined.isPresent()) {
+      return ImmutableList.of(quarantined.get());
+    }
     if (!demand.batch()) {
       Optional<Decision> refusal = refusal(demand, nowNanos);
       if (refusal.isPresent()) {
@@ -97,8 +106,27 @@
     }
   }
 
-  /** Removes a demand that has ended, whether it was waiting or running. */
-  public ImmutableList<Decision> finished(DemandId id, PlacementResult result, long nowNanos) {
+  /** Refuses the waiting demands with a prompt part that is in quarantine. */
+  public ImmutableList<Decision> refuseQuarantined(long nowNanos) {
+    ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
+    for (Demand demand : ImmutableList.copyOf(waiting.values())) {
+      Optional<Decision> decision = quarantined(demand, nowNanos);
+      if (decision.isPresent()) {
+        waiting.remove(demand.id());
+        work(demand.service()).waiting().remove(demand);
+        decisions.add(decision.get());
+      }
+    }
+    return decisions.build();
+  }
+
+  /**
+   * Removes a demand that has ended, whether it was waiting or running.
+   *
+   * @param responseBegan whether a backend server began to answer it
+   */
+  public ImmutableList<Decision> finished(
+      DemandId id, PlacementResult result, boolean responseBegan, long nowNanos) {
     Demand waited = waiting.remove(id);
     if (waited != null) {
       work(waited.service()).waiting().remove(waited);
@@ -108,6 +136,9 @@
     if (ended == null) {
       return ImmutableList.of();
     }
+    if (responseBegan) {
+      quarantine.seenSound(ended.demand().promptParts(), ended.sinceNanos(), nowNanos);
+    }
     release(ended);
     recordResult(ended, result, nowNanos);
     return assignSlots(ended.demand().service(), nowNanos);
@@ -230,6 +261,12 @@
     }
   }
 
+  private Optional<Decision> quarantined(Demand demand, long nowNanos) {
+    return quarantine
+        .find(demand.promptParts(), nowNanos)
+        .map(verdict -> new Decision.Quarantined(demand.id(), verdict));
+  }
+
   private Optional<Decision> refusal(Demand demand, long nowNanos) {
     if (!slots.hasServers(demand.service())) {
       return Optional.of(
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/RefusalReason.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/RefusalReason.java
@@ -9,5 +9,7 @@
   /** The organisation is over its rate. */
   OVER_RATE,
   /** No backend server of the service accepts requests. */
-  NO_BACKEND
+  NO_BACKEND,
+  /** A part of its prompt ends the backend servers that begin to answer it. */
+  QUARANTINED
 }
--- a/server/src/main/java/org/trefoilbarrow/protocol/ErrorKind.java
+++ b/server/src/main/java/org/trefoilbarrow/protocol/ErrorKind.java
@@ -17,6 +17,7 @@
   IN_USE(409, NOT_RUN, "in_use"),
   BODY_TOO_LARGE(413, NOT_RUN, "body_too_large"),
   HEADERS_TOO_LARGE(431, NOT_RUN, "headers_too_large"),
+  PROMPT_QUARANTINED(400, NOT_RUN, "prompt_quarantined"),
   IDEMPOTENCY_KEY_REUSED(422, NOT_RUN, "idempotency_key_reused"),
   PRECONDITION_REQUIRED(428, NOT_RUN, "precondition_required"),
   OVER_RATE(429, NOT_RUN, "over_rate"),
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
@@ -25,9 +26,10 @@
   private boolean impliesNotRun;
   private boolean replaced;
   private boolean streaming;
+  private boolean responseBegan;
   private boolean ended;
 
-  /** Receives what an attempt reports; exactly one of the calls but the first two ends it. */
+  /** Receives what an attempt reports; exactly one of the calls but the first three ends it. */
   interface Listener {
     /** Called when a part of the response was received, before its events. */
     void onProgress(BackendAttempt attempt, boolean streaming);
@@ -35,6 +37,9 @@
     /** Called for each complete event of a stream. */
     void onEvent(HttpResponse response, EventStream.Event event);
 
+    /** Called when a connection ended before the response began, before the attempt's end. */
+    void onEndedBeforeResponse(BackendAttempt attempt);
+
     /** Called when a stream ended after a complete event. */
     void onStreamComplete(HttpResponse response);
 
@@ -68,6 +73,11 @@
     return backend;
   }
 
+  /** Returns whether the server has sent a part of a successful response to the request. */
+  boolean responseBegan() {
+    return responseBegan;
+  }
+
   /** Sends the request; the connection releases it. */
   void send(BackendConnections connections, FullHttpRequest request) {
     cancellation = connections.send(backend, request, this);
@@ -104,6 +114,7 @@
       return;
     }
     for (EventStream.Event event : events.append(part)) {
+      responseBegan = true;
       listener.onEvent(response.get(), event);
     }
   }
@@ -119,15 +130,33 @@
     } else if (impliesNotRun) {
       // A server that does not state that it did not run the request makes no such promise.
       listener.onLost(this);
-    } else if (!streaming) {
+    } else if (streaming) {
+      endStream();
+    } else {
+      responseBegan = isSuccess(response.get()) && BackendConnections.isFramed(response.get());
       listener.onResponseComplete(this, response.get(), body);
-    } else if (events.isInsideEvent()) {
+    }
+  }
+
+  private void endStream() {
+    reportUnlessBegan();
+    if (events.isInsideEvent()) {
       listener.onLost(this);
     } else {
       listener.onStreamComplete(response.get());
     }
   }
 
+  private static boolean isSuccess(HttpResponse response) {
+    return response.status().codeClass() == HttpStatusClass.SUCCESS;
+  }
+
+  private void reportUnlessBegan() {
+    if (!responseBegan) {
+      listener.onEndedBeforeResponse(this);
+    }
+  }
+
   @Override
   public void onBroken(boolean sent) {
     if (ended) {
@@ -137,6 +166,7 @@
     if (replaced || notRun) {
       reportNotRun();
     } else if (sent) {
+      reportUnlessBegan();
       listener.onLost(this);
     } else {
       listener.onNotRun(this, PlacementResult.FAILED);
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
@@ -83,6 +83,11 @@
     return () -> connection.abort(handler);
   }
 
+  /** Returns whether a response states its own end, and does not end with its connection. */
+  static boolean isFramed(HttpResponse response) {
+    return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+  }
+
   /** Closes connections that are idle beyond their reuse time. */
   public void closeIdle() {
     long now = nanoClock.getAsLong();
@@ -253,10 +258,6 @@
       return attributes.requestId().map(handler.requestId()::equals).orElse(!reused);
     }
 
-    private boolean isFramed(HttpResponse response) {
-      return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
-    }
-
     private void readBody(ChannelHandlerContext context, HttpContent content) {
       if (!responseIgnored && handler != null && content.content().isReadable()) {
         handler.onBody(content.content());
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
@@ -13,6 +13,7 @@
  * @param fleet the cached state of the fleet
  * @param placements requests slots at backend servers
  * @param connections the pool of connections to backend servers
+ * @param serverEnds reports backend servers that ended before they began to answer
  * @param dialect the HTTP conventions of callers and backend servers
  * @param log the event log
  * @param metrics the counters and histograms
@@ -23,6 +24,7 @@
     FleetView fleet,
     PlacementClient placements,
     BackendConnections connections,
+    ServerEndDetector serverEnds,
     HttpDialect dialect,
     EventLog log,
     FleetMetrics metrics,
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -137,14 +137,15 @@
             deadlineNanos,
             repeated,
             excluded,
-            attributes.requestId());
+            attributes.requestId(),
+            attributes.promptParts());
     Slot slot = new Slot();
     requestedSlot = Optional.of(slot);
     slot.number = services.placements().submit(demand, slot);
   }
 
   private void withdrawRequest() {
-    requestedSlot.ifPresent(slot -> slot.release(PlacementResult.CANCELLED));
+    requestedSlot.ifPresent(slot -> slot.release(PlacementResult.CANCELLED, false));
     requestedSlot = Optional.empty();
   }
 
@@ -152,8 +153,8 @@
   private final class Slot implements PlacementListener {
     private long number;
 
-    void release(PlacementResult result) {
-      services.placements().finish(number, result);
+    void release(PlacementResult result, boolean responseBegan) {
+      services.placements().finish(number, result, responseBegan);
     }
 
     @Override
@@ -268,6 +269,7 @@
       case TOO_LONG_A_WAIT, WAITED_TOO_LONG -> ErrorKind.QUEUE_FULL;
       case OVER_RATE -> ErrorKind.OVER_RATE;
       case NO_BACKEND -> ErrorKind.NO_BACKEND_SERVER;
+      case QUARANTINED -> ErrorKind.PROMPT_QUARANTINED;
     };
   }
 
@@ -289,13 +291,14 @@
 
   /** Cancels the attempt, if one runs, and gives back its slot. */
   private void releaseUsedSlot(PlacementResult result) {
+    boolean responseBegan = attempt.map(BackendAttempt::responseBegan).orElse(false);
     attempt.ifPresent(
         current -> {
           current.cancel();
           services.metrics().countPlacement(current.backend().id(), result.name());
         });
     attempt = Optional.empty();
-    usedSlot.ifPresent(slot -> slot.release(result));
+    usedSlot.ifPresent(slot -> slot.release(result, responseBegan));
     usedSlot = Optional.empty();
   }
 
@@ -405,6 +408,11 @@
     responder.writePart(Unpooled.wrappedBuffer(event.bytes()));
   }
 
+  @Override
+  public void onEndedBeforeResponse(BackendAttempt broken) {
+    services.serverEnds().broken(broken.backend(), attributes.promptParts());
+  }
+
   @Override
   public void onStreamComplete(HttpResponse response) {
     failover.attemptCompleted();
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/HttpDialect.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/HttpDialect.java
@@ -1,11 +1,13 @@
 package org.trefoilbarrow.transport.forward;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.Optional;
 import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.protocol.RequestJob;
 import org.trefoilbarrow.protocol.RequestJob.JobItem;
 import org.trefoilbarrow.state.fleet.BackendServer;
@@ -46,6 +48,9 @@
       long remainingMillis,
       Optional<String> resumeAfter);
 
+  /** Returns the parts of an item's prompt that other work may share, in their order. */
+  ImmutableList<PromptPartId> promptParts(JobItem item);
+
   /** Sets the header that states after which time a refused caller may retry. */
   void setRetryAfter(HttpHeaders headers, long millis);
 
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/RequestAttributes.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/RequestAttributes.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.trefoilbarrow.protocol.PromptPartId;
 
 /**
  * The attributes that a caller states in the headers of a request.
@@ -13,17 +15,20 @@
  * @param deadlineMillis how long the caller waits for the response, if stated
  * @param resumeAfter the identifier of the last event that the caller has received, if it resumes a
  *     stream
+ * @param promptParts the parts of the prompt that other requests may share, in their order
  */
 public record RequestAttributes(
     String requestId,
     Optional<String> key,
     OptionalLong deadlineMillis,
-    Optional<String> resumeAfter) {
+    Optional<String> resumeAfter,
+    ImmutableList<PromptPartId> promptParts) {
   /** Checks the components. */
   public RequestAttributes {
     checkNotNull(requestId, "requestId");
     checkNotNull(key, "key");
     checkNotNull(deadlineMillis, "deadlineMillis");
     checkNotNull(resumeAfter, "resumeAfter");
+    checkNotNull(promptParts, "promptParts");
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -23,6 +24,7 @@
 import org.trefoilbarrow.coordination.jobs.ItemDurationEstimator;
 import org.trefoilbarrow.coordination.jobs.RequestJobProgress;
 import org.trefoilbarrow.protocol.BackendServerId;
+import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.protocol.RequestJob.JobItem;
 import org.trefoilbarrow.state.fleet.BackendServer;
 import org.trefoilbarrow.state.fleet.Route;
@@ -61,6 +63,7 @@
   private final ForwardServices services;
   private final RequestJobProgress progress;
   private final JobItem item;
+  private final ImmutableList<PromptPartId> promptParts;
   private final Route route;
   private final JobRunner runner;
   private final ItemDurationEstimator durations;
@@ -86,6 +89,7 @@
     this.services = checkNotNull(services, "services");
     this.progress = checkNotNull(progress, "progress");
     this.item = checkNotNull(item, "item");
+    this.promptParts = services.dialect().promptParts(item);
     this.route = checkNotNull(route, "route");
     this.runner = checkNotNull(runner, "runner");
     this.durations = checkNotNull(durations, "durations");
@@ -139,7 +143,8 @@
                     now() + RUN_TIMEOUT.toNanos(),
                     true,
                     excluded,
-                    item.id()),
+                    item.id(),
+                    promptParts),
                 this);
   }
 
@@ -191,7 +196,10 @@
   @Override
   public void refused(RefusalReason reason, long retryAfterMillis) {
     demandNumber = -1;
-    if (!done) {
+    if (!done && reason == RefusalReason.QUARANTINED) {
+      log("quarantined");
+      runner.endRun(progress, item.id());
+    } else if (!done) {
       excluded.clear();
       scheduleRetry();
     }
@@ -214,6 +222,7 @@
   }
 
   private void releaseSlot(PlacementResult result) {
+    final boolean responseBegan = attempt.isPresent() && attempt.get().responseBegan;
     attempt.ifPresent(
         current -> {
           current.cancel();
@@ -222,7 +231,7 @@
         });
     attempt = Optional.empty();
     if (demandNumber >= 0) {
-      services.placements().finish(demandNumber, result);
+      services.placements().finish(demandNumber, result, responseBegan);
       demandNumber = -1;
     }
   }
@@ -250,6 +259,7 @@
     private int status;
     private boolean notRun;
     private boolean replaced;
+    private boolean responseBegan;
     private boolean ended;
     private final long sentNanos = now();
     private long lastProgressNanos = sentNanos;
@@ -285,6 +295,7 @@
         return;
       }
       for (EventStream.Event event : events.append(part)) {
+        responseBegan = true;
         appendEvent(event);
       }
     }
@@ -351,6 +362,9 @@
       ended = true;
       if (!done) {
         log("lost");
+        if (sent && !replaced && !notRun && !responseBegan) {
+          services.serverEnds().broken(backend, promptParts);
+        }
         retryElsewhere(backend, replaced ? PlacementResult.REPLACED : PlacementResult.FAILED);
       }
     }
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -210,6 +210,14 @@
       scheduleWrite(progress);
       return;
     }
+    if (services.placements().hasQuarantine()
+        && services
+            .placements()
+            .findQuarantined(services.dialect().promptParts(item))
+            .isPresent()) {
+      // It is tried again when the quarantine is over.
+      return;
+    }
     ItemRun run =
         new ItemRun(
             services, progress, item, route.get(), milliClock.getAsLong(), this, itemDurations);
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
@@ -1,6 +1,8 @@
 package org.trefoilbarrow.transport.link;
 
+import com.google.common.collect.ImmutableList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.trefoilbarrow.coordination.dispatch.Demand;
@@ -8,6 +10,7 @@
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
 
 /**
@@ -42,6 +45,9 @@
     if (!demand.excluded().isEmpty()) {
       message.setExcluded(demand.excluded().stream().map(BackendServerId::value).toList());
     }
+    if (!demand.promptParts().isEmpty()) {
+      message.setPromptParts(demand.promptParts().stream().map(PromptPartId::value).toList());
+    }
     runningOn.ifPresent(backend -> message.setRunningOn(backend.value()));
     return message;
   }
@@ -63,7 +69,8 @@
         nowNanos + message.getObjectiveMillis() * NANOS_IN_MILLI,
         nowNanos + message.getRemainingMillis() * NANOS_IN_MILLI,
         message.isRepeated(),
-        excluded);
+        excluded,
+        message.isSetPromptParts() ? parts(message.getPromptParts()) : ImmutableList.of());
   }
 
   /** Returns a demand of this host. */
@@ -77,6 +84,12 @@
         demand.objectiveNanos(),
         demand.deadlineNanos(),
         demand.repeated(),
-        demand.excluded());
+        demand.excluded(),
+        demand.promptParts());
+  }
+
+  /** Returns the prompt parts with the given identifiers. */
+  static ImmutableList<PromptPartId> parts(List<String> identifiers) {
+    return identifiers.stream().map(PromptPartId::of).collect(ImmutableList.toImmutableList());
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DemandSpec.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DemandSpec.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.Set;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.protocol.PromptPartId;
 
 /**
  * The work for which a host requests a slot at a backend server.
@@ -20,6 +22,7 @@
  * @param repeated whether this is a retry by the caller or this host
  * @param excluded backend servers at which the work must not be placed
  * @param request the request's identifier, for logs
+ * @param promptParts the parts of its prompt that other work may share, in their order
  */
 public record DemandSpec(
     String service,
@@ -30,15 +33,41 @@
     long deadlineNanos,
     boolean repeated,
     Set<BackendServerId> excluded,
-    String request) {
+    String request,
+    ImmutableList<PromptPartId> promptParts) {
   /** Checks the components, and copies those that could change. */
   public DemandSpec {
     checkNotNull(service, "service");
     checkNotNull(organisation, "organisation");
     checkNotNull(request, "request");
+    checkNotNull(promptParts, "promptParts");
     excluded = ImmutableSet.copyOf(excluded);
   }
 
+  /** Creates a demand whose prompt has no shared parts. */
+  public DemandSpec(
+      String service,
+      Optional<OrganisationId> organisation,
+      int priority,
+      boolean batch,
+      long objectiveNanos,
+      long deadlineNanos,
+      boolean repeated,
+      Set<BackendServerId> excluded,
+      String request) {
+    this(
+        service,
+        organisation,
+        priority,
+        batch,
+        objectiveNanos,
+        deadlineNanos,
+        repeated,
+        excluded,
+        request,
+        ImmutableList.of());
+  }
+
   /** Returns a copy that also excludes the given backend server. */
   public DemandSpec excluding(BackendServerId backend) {
     return new DemandSpec(
@@ -50,6 +79,7 @@
         deadlineNanos,
         repeated,
         ImmutableSet.<BackendServerId>builder().addAll(excluded).add(backend).build(),
-        request);
+        request,
+        promptParts);
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
@@ -26,7 +26,9 @@
 import org.trefoilbarrow.coordination.dispatch.DemandId;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
+import org.trefoilbarrow.coordination.dispatch.RefusalReason;
 import org.trefoilbarrow.coordination.election.DispatchElection;
+import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
@@ -49,6 +51,7 @@
   private final EventLoop loop;
   private final PeerAddress self;
   private final Dispatcher dispatcher;
+  private final PartQuarantine quarantine;
   private final DispatchElection election;
   private final Heartbeats heartbeats;
   private final LongSupplier nanoClock;
@@ -68,6 +71,7 @@
       EventLoop loop,
       PeerAddress self,
       Dispatcher dispatcher,
+      PartQuarantine quarantine,
       DispatchElection election,
       Heartbeats heartbeats,
       LongSupplier nanoClock,
@@ -76,6 +80,7 @@
     this.loop = checkNotNull(loop, "loop");
     this.self = checkNotNull(self, "self");
     this.dispatcher = checkNotNull(dispatcher, "dispatcher");
+    this.quarantine = checkNotNull(quarantine, "quarantine");
     this.election = checkNotNull(election, "election");
     this.heartbeats = checkNotNull(heartbeats, "heartbeats");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
@@ -152,6 +157,14 @@
       return LinkMessage.refused(
           new RefusedMessage(call, refused.reason().ordinal(), refused.retryAfterMillis()));
     }
+    if (decision instanceof Decision.Quarantined quarantined) {
+      return LinkMessage.refused(
+          new RefusedMessage(
+                  call,
+                  RefusalReason.QUARANTINED.ordinal(),
+                  TimeUnit.NANOSECONDS.toMillis(quarantined.verdict().remainingNanos()))
+              .setPromptPart(quarantined.verdict().part().value()));
+    }
     return LinkMessage.revoked(new RevokedMessage(call));
   }
 
@@ -238,7 +251,10 @@
             dispatcher.finished(
                 new DemandId(host, finished.getCall()),
                 PlacementResult.values()[finished.getResult()],
+                finished.isResponseBegan(),
                 now));
+      } else if (message.isSetServerEnd()) {
+        quarantine.reported(ServerEndReports.toServerEnd(host, message.getServerEnd(), now), now);
       } else {
         messageHandler.received(host, message, context::writeAndFlush);
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -23,8 +25,14 @@
 import org.trefoilbarrow.coordination.election.DispatchElection;
 import org.trefoilbarrow.coordination.election.ElectionRules;
 import org.trefoilbarrow.coordination.election.TermReport;
+import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
+import org.trefoilbarrow.coordination.quarantine.QuarantineChange;
+import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
+import org.trefoilbarrow.coordination.quarantine.ServerEnd;
+import org.trefoilbarrow.coordination.quarantine.SoundParts;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.state.fleet.BackendServer;
 import org.trefoilbarrow.state.fleet.FleetView;
 import org.trefoilbarrow.transport.forward.EventLog;
@@ -44,12 +52,20 @@
  */
 public final class PlacementClient {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+
+  /**
+   * How long a quarantine holds that this host knows only from the refusal of a demand; the
+   * platform tells it to all hosts well before.
+   */
+  private static final Duration MAX_REFUSAL_VALIDITY = Duration.ofSeconds(30);
+
   private static final Duration STATE_LOG_INTERVAL = Duration.ofSeconds(1);
 
   private final EventLoop loop;
   private final PeerAddress self;
   private final FleetView fleet;
   private final Dispatcher dispatcher;
+  private final PartQuarantine quarantine;
   private final DispatchElection election;
   private final TermClaimer claimer;
   private final LongSupplier nanoClock;
@@ -59,6 +75,9 @@
   private final DispatchServer server;
   private final SlotShares shares;
   private final List<Runnable> onPeersChanged = new ArrayList<>();
+  private final ServerEndReports serverEnds = new ServerEndReports();
+  private final SoundParts soundParts = new SoundParts(QuarantineRules.DEFAULT.maxSoundParts());
+  private QuarantineListener quarantineListener = change -> {};
   private MessageHandler messageHandler = MessageHandler.NONE;
   private DispatchingHost dispatchingHost = DispatchingHost.NONE;
   private long nextCall;
@@ -93,6 +112,8 @@
   /**
    * Creates a client that has no peers yet.
    *
+   * @param quarantine the prompt parts that keep work from all backend servers, as {@code
+   *     dispatcher} uses it
    * @param canDispatch whether this host accepts the work of others and knows the backend servers
    */
   public PlacementClient(
@@ -100,6 +121,7 @@
       PeerAddress self,
       FleetView fleet,
       Dispatcher dispatcher,
+      PartQuarantine quarantine,
       TermStore terms,
       BooleanSupplier canDispatch,
       BooleanSupplier connectedToPlatform,
@@ -109,6 +131,7 @@
     this.self = checkNotNull(self, "self");
     this.fleet = checkNotNull(fleet, "fleet");
     this.dispatcher = checkNotNull(dispatcher, "dispatcher");
+    this.quarantine = checkNotNull(quarantine, "quarantine");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.log = checkNotNull(log, "log");
     this.election = new DispatchElection(self.host(), self.startedMillis(), ElectionRules.DEFAULT);
@@ -127,6 +150,7 @@
             loop,
             self,
             dispatcher,
+            quarantine,
             election,
             heartbeats,
             nanoClock,
@@ -168,9 +192,18 @@
     if (dispatchingHost.isSelf()) {
       updateShares();
     }
+    decideQuarantines(now);
     apply(dispatcher.tick(now));
   }
 
+  private void decideQuarantines(long now) {
+    ImmutableList<QuarantineChange> changes = quarantine.decide(now);
+    changes.forEach(quarantineListener::changed);
+    if (!changes.isEmpty()) {
+      apply(dispatcher.refuseQuarantined(now));
+    }
+  }
+
   private void logState() {
     if (dispatcher.waitingCount() + dispatcher.runningCount() > 0) {
       log.add(
@@ -193,6 +226,60 @@
     server.setMessageHandler(handler);
   }
 
+  /** Sets the receiver of the quarantines that this host decides on. */
+  public void setQuarantineListener(QuarantineListener listener) {
+    this.quarantineListener = checkNotNull(listener, "listener");
+  }
+
+  /**
+   * Reports the end of a backend server to the dispatching host, and to each next one.
+   *
+   * @param parts the shared prompt parts of a request that had been sent there and whose response
+   *     had not begun
+   * @param endNanos when the connection broke
+   */
+  public void reportServerEnd(
+      BackendServer backend, ImmutableList<PromptPartId> parts, long endNanos) {
+    ImmutableMap.Builder<PromptPartId, Long> soundNanos = ImmutableMap.builder();
+    for (PromptPartId part : ImmutableSet.copyOf(parts)) {
+      soundParts.lastSeenNanos(part).ifPresent(nanos -> soundNanos.put(part, nanos));
+    }
+    ServerEnd end =
+        new ServerEnd(
+            self.host(),
+            backend.id(),
+            backend.domain(),
+            parts,
+            soundNanos.buildOrThrow(),
+            endNanos);
+    log.add("quarantine", "server end", "backend", backend.id(), "parts", parts);
+    serverEnds.add(end);
+    submitServerEnd(end, nanoClock.getAsLong());
+  }
+
+  /** Adopts a quarantine that another host decided on. */
+  public void adoptQuarantine(PromptPartId part, long durationNanos, long remainingNanos) {
+    long now = nanoClock.getAsLong();
+    quarantine.adopt(part, durationNanos, now + remainingNanos, now);
+    apply(dispatcher.refuseQuarantined(now));
+  }
+
+  /** Lifts a quarantine. */
+  public void liftQuarantine(PromptPartId part) {
+    quarantine.lift(part);
+    serverEnds.forget(part);
+  }
+
+  /** Returns whether any prompt part is in quarantine. */
+  public boolean hasQuarantine() {
+    return quarantine.count(nanoClock.getAsLong()) > 0;
+  }
+
+  /** Returns the first of the given prompt parts that is in quarantine. */
+  public Optional<PartQuarantine.Verdict> findQuarantined(Iterable<PromptPartId> parts) {
+    return quarantine.find(parts, nanoClock.getAsLong());
+  }
+
   /** Runs a task whenever the live peers may have changed. */
   public void onPeersChanged(Runnable task) {
     onPeersChanged.add(task);
@@ -260,16 +347,40 @@
     long number = nextCall++;
     Call call = new Call(demand, listener);
     calls.put(number, call);
-    submitToDispatchingHost(number, call);
+    if (findQuarantined(demand.promptParts()).isPresent()) {
+      // Run later, since the listener does not know the number yet.
+      loop.execute(() -> refuseQuarantined(number));
+    } else {
+      submitToDispatchingHost(number, call);
+    }
     return number;
   }
 
-  /** Ends a demand, whether it waits or runs. */
-  public void finish(long number, PlacementResult result) {
-    if (calls.remove(number) == null) {
+  private void refuseQuarantined(long number) {
+    Call call = calls.get(number);
+    if (call != null) {
+      long remainingNanos =
+          findQuarantined(call.demand.promptParts())
+              .map(PartQuarantine.Verdict::remainingNanos)
+              .orElse(0L);
+      refused(number, RefusalReason.QUARANTINED, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+    }
+  }
+
+  /**
+   * Ends a demand, whether it waits or runs.
+   *
+   * @param responseBegan whether a backend server began to answer
+   */
+  public void finish(long number, PlacementResult result, boolean responseBegan) {
+    Call ended = calls.remove(number);
+    if (ended == null) {
       return;
     }
-    report(number, result);
+    if (responseBegan) {
+      soundParts.seen(ended.demand.promptParts(), nanoClock.getAsLong());
+    }
+    report(number, result, responseBegan);
   }
 
   /** Assigns free slots to waiting demands after the fleet has changed. */
@@ -310,6 +421,18 @@
     }
     ImmutableList.copyOf(calls.entrySet())
         .forEach(entry -> submitToDispatchingHost(entry.getKey(), entry.getValue()));
+    long now = nanoClock.getAsLong();
+    serverEnds.recent(now).forEach(end -> submitServerEnd(end, now));
+  }
+
+  private void submitServerEnd(ServerEnd end, long now) {
+    if (dispatchingHost.remote().isPresent()) {
+      links.send(
+          dispatchingHost.remote().get(),
+          LinkMessage.serverEnd(ServerEndReports.toMessage(end, now)));
+    } else {
+      quarantine.reported(end, now);
+    }
   }
 
   private void leaveDispatchingHost(DispatchingHost next) {
@@ -359,6 +482,15 @@
       placed(message.getPlaced().getCall(), BackendServerId.of(message.getPlaced().getBackend()));
     } else if (message.isSetRefused()) {
       RefusedMessage refused = message.getRefused();
+      if (refused.isSetPromptPart()) {
+        long nanos =
+            Math.min(
+                MAX_REFUSAL_VALIDITY.toNanos(),
+                TimeUnit.MILLISECONDS.toNanos(refused.getRetryAfterMillis()));
+        if (nanos > 0) {
+          adoptQuarantine(PromptPartId.of(refused.getPromptPart()), nanos, nanos);
+        }
+      }
       refused(
           refused.getCall(),
           RefusalReason.values()[refused.getReason()],
@@ -379,33 +511,55 @@
     if (backend.filter(fleet::isUsable).isEmpty()) {
       // This host does not know the backend server yet, or knows before the dispatching host that
       // it is leaving, gone or in a drained domain.
-      report(number, backend.isPresent() ? PlacementResult.LEAVING : PlacementResult.CANCELLED);
+      report(
+          number, backend.isPresent() ? PlacementResult.LEAVING : PlacementResult.CANCELLED, false);
       Call retry = new Call(call.demand.excluding(id), call.listener);
       calls.put(number, retry);
       submitToDispatchingHost(number, retry);
       return;
     }
+    if (findQuarantined(call.demand.promptParts()).isPresent()) {
+      report(number, PlacementResult.CANCELLED, false);
+      refuseQuarantined(number);
+      return;
+    }
     call.backend = Optional.of(id);
     call.listener.placed(backend.get());
   }
 
-  private void report(long number, PlacementResult result) {
+  private void report(long number, PlacementResult result, boolean responseBegan) {
     if (dispatchingHost.remote().isPresent()) {
       links.send(
           dispatchingHost.remote().get(),
-          LinkMessage.finished(new FinishedMessage(number, result.ordinal())));
+          LinkMessage.finished(
+              new FinishedMessage(number, result.ordinal()).setResponseBegan(responseBegan)));
     } else {
-      apply(dispatcher.finished(localId(number), result, nanoClock.getAsLong()));
+      apply(dispatcher.finished(localId(number), result, responseBegan, nanoClock.getAsLong()));
     }
   }
 
   private void refused(long number, RefusalReason reason, long retryAfterMillis) {
     Call call = calls.remove(number);
     if (call != null) {
+      if (reason == RefusalReason.QUARANTINED) {
+        logQuarantined(call.demand);
+      }
       call.listener.refused(reason, retryAfterMillis);
     }
   }
 
+  private void logQuarantined(DemandSpec demand) {
+    log.add(
+        "quarantine",
+        "refused",
+        "request",
+        demand.request(),
+        "part",
+        findQuarantined(demand.promptParts())
+            .map(verdict -> verdict.part().value())
+            .orElse("lifted since"));
+  }
+
   private void revoked(long number) {
     Call call = calls.get(number);
     if (call != null) {
@@ -436,6 +590,8 @@
             placed(placed.demand().call(), placed.backend());
           } else if (decision instanceof Decision.Refused refused) {
             refused(refused.demand().call(), refused.reason(), refused.retryAfterMillis());
+          } else if (decision instanceof Decision.Quarantined quarantined) {
+            refuseQuarantined(quarantined.demand().call());
           } else {
             revoked(decision.demand().call());
           }
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -25,12 +25,16 @@
   10: optional list<string> excluded
   11: optional string runningOn
   12: required string request
+  /** The parts of the prompt that other work may share, in their order. */
+  13: optional list<string> promptParts
 }
 
 /** Ends a demand: the call has finished or was cancelled. */
 struct FinishedMessage {
   1: required i64 call
   2: required i32 result
+  /** Whether a backend server began to answer. */
+  3: optional bool responseBegan
 }
 
 /** Assigns a slot at a backend server to a demand. */
@@ -46,6 +50,8 @@
   1: required i64 call
   2: required i32 reason
   3: required i64 retryAfterMillis
+  /** The part of the prompt that is in quarantine, if that is the reason. */
+  4: optional string promptPart
 }
 
 /** Revokes the slot of a batch item. */
@@ -107,6 +113,20 @@
   5: optional TermReportMessage report
 }
 
+/**
+ * Reports the end of a backend server under a request that had been sent there and whose response
+ * had not begun.
+ */
+struct ServerEndMessage {
+  1: required string backend
+  2: required string domain
+  3: required i64 ageMillis
+  /** The parts of the request's prompt that other work may share, in their order. */
+  4: required list<string> promptParts
+  /** How long ago the sender saw a part to be sound, for the parts of which it knows. */
+  5: required map<string, i64> soundAgesMillis
+}
+
 /** One message on a link; each frame holds one. */
 union LinkMessage {
   1: HelloMessage hello
@@ -118,4 +138,5 @@
   7: JobReadMessage jobRead
   8: JobAnswerMessage jobAnswer
   9: PulseMessage pulse
+  10: ServerEndMessage serverEnd
 }
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -15,6 +15,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
+import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
@@ -40,7 +42,12 @@
   public void createDispatcher() {
     fleet = new FleetView();
     nextCall = 0;
-    dispatcher = new Dispatcher(fleet, DispatchRules.DEFAULT, new Random(7)::nextDouble);
+    dispatcher =
+        new Dispatcher(
+            fleet,
+            DispatchRules.DEFAULT,
+            new Random(7)::nextDouble,
+            new PartQuarantine(QuarantineRules.DEFAULT));
     apply(0, 10);
   }
 
@@ -142,7 +149,7 @@
     assertFalse(revoked.demand().equals(first.id()), "the item that is due last is revoked");
     assertEquals(
         count(
-            dispatcher.finished(revoked.demand(), PlacementResult.CANCELLED, MILLI),
+            dispatcher.finished(revoked.demand(), PlacementResult.CANCELLED, false, MILLI),
             Decision.Placed.class),
         1);
   }
@@ -251,7 +258,7 @@
     backend("a", 4, true, 0);
     Demand demand = online(0, 300, false);
     dispatcher.submit(demand, 0);
-    dispatcher.finished(demand.id(), PlacementResult.REPLACED, 0);
+    dispatcher.finished(demand.id(), PlacementResult.REPLACED, false, 0);
     assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Refused.class), 1);
   }
 
@@ -261,7 +268,7 @@
     backend("a", 4, true, 0);
     Demand declined = online(0, 300, false);
     dispatcher.submit(declined, 0);
-    dispatcher.finished(declined.id(), PlacementResult.LEAVING, 0);
+    dispatcher.finished(declined.id(), PlacementResult.LEAVING, false, 0);
     assertEquals(count(dispatcher.submit(item(0, 60_000), 0), Decision.Placed.class), 0);
     backend("b", 4, true, 0);
     Decision.Placed placed =
@@ -276,7 +283,7 @@
     backend("a", 4, true, 0);
     Demand demand = online(0, 300, false);
     dispatcher.submit(demand, 0);
-    dispatcher.finished(demand.id(), PlacementResult.FAILED, 0);
+    dispatcher.finished(demand.id(), PlacementResult.FAILED, false, 0);
     backend("b", 4, true, 0);
     for (int call = 0; call < 4; call++) {
       Decision.Placed placed = (Decision.Placed) dispatcher.submit(online(0, 300, false), 0).get(0);
@@ -355,7 +362,7 @@
       long now = start + request * MILLI;
       Demand demand = online(now, 300, false);
       placed += count(dispatcher.submit(demand, now), Decision.Placed.class);
-      dispatcher.finished(demand.id(), PlacementResult.ANSWERED, now);
+      dispatcher.finished(demand.id(), PlacementResult.ANSWERED, false, now);
     }
     assertEquals(placed, 20_000);
     assertEquals(dispatcher.waitingCount(), 20_000 - dispatcher.runningCount());
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
@@ -15,6 +15,8 @@
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.SlotShare;
+import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
+import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.state.fleet.BackendServer;
@@ -66,7 +68,12 @@
     this.election = new DispatchElection(id, startedMillis, ElectionRules.DEFAULT);
     election.setOtherHostCount(fleet.hostCount() - 1);
     fleet.backends().forEach(view::put);
-    this.dispatcher = new Dispatcher(view, DispatchRules.DEFAULT, random::nextDouble);
+    this.dispatcher =
+        new Dispatcher(
+            view,
+            DispatchRules.DEFAULT,
+            random::nextDouble,
+            new PartQuarantine(QuarantineRules.DEFAULT));
     fleet.queue().after(random.nextLong(TICK_MILLIS), this::tick);
     fleet.queue().after(random.nextLong(HEARTBEAT_MILLIS), this::sendHeartbeats);
   }
@@ -375,7 +382,9 @@
       return;
     }
     if (followed.isEmpty() || isHolderNow()) {
-      apply(dispatcher.finished(new DemandId(id, number), PlacementResult.ANSWERED, nowNanos()));
+      apply(
+          dispatcher.finished(
+              new DemandId(id, number), PlacementResult.ANSWERED, false, nowNanos()));
     } else {
       SimulatedHost holder = fleet.host(followed.get());
       fleet.send(
@@ -384,7 +393,10 @@
           () ->
               holder.apply(
                   holder.dispatcher.finished(
-                      new DemandId(id, number), PlacementResult.ANSWERED, holder.nowNanos())));
+                      new DemandId(id, number),
+                      PlacementResult.ANSWERED,
+                      false,
+                      holder.nowNanos())));
     }
   }
 }
--- a/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
@@ -33,6 +33,8 @@
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
+import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.fleet.Eventually;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.FailureDomainId;
@@ -63,7 +65,9 @@
     final EventLoop loop;
     final FleetView fleet = new FleetView();
     final AtomicBoolean connectedToPlatform = new AtomicBoolean(true);
-    final Dispatcher dispatcher = new Dispatcher(fleet, DispatchRules.DEFAULT, () -> 0.5);
+    final PartQuarantine quarantine = new PartQuarantine(QuarantineRules.DEFAULT);
+    final Dispatcher dispatcher =
+        new Dispatcher(fleet, DispatchRules.DEFAULT, () -> 0.5, quarantine);
     final PeerAddress self;
     final PlacementClient placements;
 
@@ -81,6 +85,7 @@
               self,
               fleet,
               dispatcher,
+              quarantine,
               new TermStore(platform, platformCalls, loop),
               () -> !servesCallers,
               connectedToPlatform::get,
@@ -221,7 +226,7 @@
 
     callers.on(
         () -> {
-          callers.placements.finish(numbers.get(0), PlacementResult.ANSWERED);
+          callers.placements.finish(numbers.get(0), PlacementResult.ANSWERED, false);
           return true;
         });
     assertEquals(decisions.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "c2 placed");
