Share quarantines of prompt parts through the platform

Cause: a host that has just started, a host without its dispatching host and the next dispatching host would not know a quarantine.

Change: a quarantine is an object of the platform, written by the host that decides, read by all hosts before they are ready, deleted by the dispatching host when its probation is over.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -47,6 +47,7 @@
 import org.trefoilbarrow.transport.jobs.RequestJobTable;
 import org.trefoilbarrow.transport.link.PeerAddress;
 import org.trefoilbarrow.transport.link.PlacementClient;
+import org.trefoilbarrow.transport.link.QuarantineStore;
 import org.trefoilbarrow.transport.link.TermStore;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
 import org.trefoilbarrow.transport.metrics.MetricsEndpoint;
@@ -101,7 +102,8 @@
           ObjectKind.CONFIGURATION,
           ObjectKind.BACKEND_SERVER,
           ObjectKind.DRAINED_DOMAIN,
-          ObjectKind.HOST);
+          ObjectKind.HOST,
+          ObjectKind.QUARANTINED_PART);
 
   private static final ImmutableList<ObjectKind> WATCHED_FOR_JOBS =
       ImmutableList.of(
@@ -125,6 +127,7 @@
   private final FleetMetrics metrics = new FleetMetrics(new MetricRegistry());
   private final PeerAddress self;
   private final PlacementClient placements;
+  private final QuarantineStore quarantines;
   private final RequestJobStore jobStore;
   private final RequestJobTable jobTable;
   private final HostRegistration registration;
@@ -178,6 +181,10 @@
             this::isConnectedToPlatform,
             nanoClock,
             log);
+    this.quarantines =
+        new QuarantineStore(
+            loop, self.host(), placements, platform, executor, nanoClock, milliClock, log);
+    placements.setQuarantineListener(quarantines);
     this.registration =
         new HostRegistration(
             platform,
@@ -366,6 +373,8 @@
     watchers.add(
         objectWatchers.of(
             ObjectKind.HOST, this::onHostListed, this::onHostRemoved, HOST_WATCH_DELAY));
+    watchers.add(
+        objectWatchers.of(ObjectKind.QUARANTINED_PART, quarantines::onPut, quarantines::onDelete));
     if (!settings.servesCallers()) {
       watchers.add(
           objectWatchers.of(
--- a/server/src/main/java/org/trefoilbarrow/state/ObjectKind.java
+++ b/server/src/main/java/org/trefoilbarrow/state/ObjectKind.java
@@ -31,7 +31,9 @@
   /** The parts of batch jobs that are too large for one object. */
   JOB_PIECE("job-pieces"),
   /** The newest term of the dispatching host. */
-  DISPATCH_TERM("dispatch-terms");
+  DISPATCH_TERM("dispatch-terms"),
+  /** The prompt parts that are kept from all backend servers. */
+  QUARANTINED_PART("quarantined-parts");
 
   private final String collection;
 
