Replace a quarantined part by one that explains more ends

Change: a part that was never seen to be sound, and was at all ends under a quarantined part and at one more, takes its place.

Evidence: PartQuarantineTest.partThatWasBlamedWithTheHarmfulOneIsClearedByOneMoreEnd, and endsFromOtherCausesDoNotReplaceAQuarantine for the reverse.

--- a/server/src/main/java/org/trefoilbarrow/coordination/quarantine/PartQuarantine.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/quarantine/PartQuarantine.java
@@ -28,6 +28,7 @@
  * <ul>
  *   <li>Other parts of the same requests, and of requests that were at the same server. Most are
  *       seen to be sound; an end is blamed on one part only, the one that explains the most ends.
+ *       If another part explains one more end later, it takes the place of that part.
  *   <li>Ends of several servers by one cause, such as a failure domain without power. They have the
  *       same moment; see {@link QuarantineRules#sameMoment}.
  *   <li>Ends without such a request. They make no part suspect.
@@ -197,6 +198,7 @@
     if (unsettled) {
       unsettled = ends.stream().anyMatch(end -> !isSettled(end, nowNanos));
       renewQuarantines(nowNanos);
+      correctQuarantines(nowNanos);
       for (Optional<Suspicion> worst = mostSuspect(nowNanos);
           worst.isPresent();
           worst = mostSuspect(nowNanos)) {
@@ -266,6 +268,36 @@
     }
   }
 
+  /**
+   * Replaces a part by another one that was at all ends under it and at one more. Parts that were
+   * at the same ends can't be told apart before.
+   */
+  private void correctQuarantines(long nowNanos) {
+    for (Entry entry : ImmutableList.copyOf(entries.values())) {
+      ImmutableList<RecordedEnd> under =
+          ends.stream()
+              .filter(end -> end.depths.containsKey(entry.part()))
+              .collect(ImmutableList.toImmutableList());
+      if (!entry.isInForce(nowNanos) || under.size() < rules.unknownPartEnds()) {
+        continue;
+      }
+      Optional<PromptPartId> better =
+          ends.stream()
+              .filter(end -> !end.depths.containsKey(entry.part()) && isSettled(end, nowNanos))
+              .flatMap(end -> end.depths.keySet().stream())
+              .filter(part -> soundParts.lastSeenNanos(part).isEmpty())
+              .filter(part -> !entries.containsKey(part))
+              .filter(part -> under.stream().allMatch(end -> end.depths.containsKey(part)))
+              .findFirst();
+      if (better.isPresent()) {
+        changes.add(change(QuarantineChange.Kind.CLEARED, entry));
+        entries.remove(entry.part());
+        quarantine(
+            QuarantineChange.Kind.STARTED, better.get(), rules.duration().toNanos(), nowNanos);
+      }
+    }
+  }
+
   private void quarantine(
       QuarantineChange.Kind kind, PromptPartId part, long durationNanos, long nowNanos) {
     Entry entry = new Entry(part, nowNanos, nowNanos + durationNanos, false);
--- a/server/src/main/java/org/trefoilbarrow/coordination/quarantine/QuarantineChange.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/quarantine/QuarantineChange.java
@@ -30,7 +30,7 @@
     RENEWED,
     /** The time is over; the part is on probation. */
     ENDED,
-    /** The part was seen to be sound. */
+    /** The part was seen to be sound, or another part explains all the ends and more. */
     CLEARED,
     /** The probation is over. */
     PROBATION_ENDED
--- a/server/src/test/java/org/trefoilbarrow/coordination/quarantine/PartQuarantineTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/quarantine/PartQuarantineTest.java
@@ -249,6 +249,35 @@
     assertFalse(isQuarantined("first"));
   }
 
+  @Test
+  public void partThatWasBlamedWithTheHarmfulOneIsClearedByOneMoreEnd() {
+    succeed("first");
+    for (int server = 1; server <= RULES.unknownPartEnds(); server++) {
+      endServer(server, "first bad session");
+      passTime(SECOND);
+    }
+    assertTrue(isQuarantined("session"));
+    endServer(8, "first bad other");
+    passTime(SECOND);
+    assertTrue(isQuarantined("bad"));
+    assertFalse(isQuarantined("session"));
+    assertFalse(isQuarantined("other"));
+  }
+
+  @Test
+  public void endsFromOtherCausesDoNotReplaceAQuarantine() {
+    succeed("first");
+    for (int server = 1; server <= RULES.unknownPartEnds(); server++) {
+      endServer(server, "first bad");
+      passTime(SECOND);
+    }
+    endServer(8, "first unrelated");
+    endServer(9, "first");
+    passTime(SECOND);
+    assertTrue(isQuarantined("bad"));
+    assertEquals(quarantine.count(now), 1);
+  }
+
   private void quarantineBad() {
     for (int server = 1; server <= RULES.unknownPartEnds(); server++) {
       endServer(server, "bad");
