Test that quarantined demands are refused, and that reports reach the next dispatching host

A demand is refused whether new or waiting, and its organisation's rate is not charged. Ends that were reported to a dispatching host that then leaves count at the next one: hosts send their last reports again.

--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -17,10 +17,12 @@
 import org.testng.annotations.Test;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
+import org.trefoilbarrow.coordination.quarantine.ServerEnd;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.OrganisationId;
+import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.state.fleet.BackendServer;
 import org.trefoilbarrow.state.fleet.CallerLimits;
 import org.trefoilbarrow.state.fleet.Catalog;
@@ -35,6 +37,7 @@
   private static final OrganisationId ORGANISATION = OrganisationId.of("acme");
 
   private FleetView fleet;
+  private PartQuarantine quarantine;
   private Dispatcher dispatcher;
   private long nextCall;
 
@@ -42,12 +45,9 @@
   public void createDispatcher() {
     fleet = new FleetView();
     nextCall = 0;
+    quarantine = new PartQuarantine(QuarantineRules.DEFAULT);
     dispatcher =
-        new Dispatcher(
-            fleet,
-            DispatchRules.DEFAULT,
-            new Random(7)::nextDouble,
-            new PartQuarantine(QuarantineRules.DEFAULT));
+        new Dispatcher(fleet, DispatchRules.DEFAULT, new Random(7)::nextDouble, quarantine);
     apply(0, 10);
   }
 
@@ -137,6 +137,70 @@
     assertEquals(atServerA, 4);
   }
 
+  private static Demand withPart(Demand demand, PromptPartId part) {
+    return new Demand(
+        demand.id(),
+        demand.service(),
+        demand.organisation(),
+        demand.priority(),
+        demand.batch(),
+        demand.objectiveNanos(),
+        demand.deadlineNanos(),
+        demand.repeated(),
+        demand.excluded(),
+        ImmutableList.of(PromptPartId.of("first"), part));
+  }
+
+  @Test
+  public void quarantinedDemandIsRefusedWithoutAChargeWhetherNewOrWaiting() {
+    apply(1, 10);
+    final long now = SECOND;
+    // One of the two slots is kept for online requests.
+    backend("a", 2, true, 0);
+    PromptPartId harmful = PromptPartId.of("harmful");
+    // Uses what the rate allows so far; a second later it allows one request more.
+    dispatcher.submit(online(0, 300, true), 0);
+    dispatcher.submit(withPart(item(now, 5000), harmful), now);
+    Demand waiting = withPart(item(now, 5000), harmful);
+    assertEquals(dispatcher.submit(waiting, now), List.of());
+    quarantine.adopt(harmful, SECOND, now + SECOND, now);
+    List<Decision> decisions = dispatcher.refuseQuarantined(now);
+    assertEquals(count(decisions, Decision.Quarantined.class), 1);
+    assertEquals(decisions.get(0).demand(), waiting.id());
+    assertEquals(dispatcher.waitingCount(), 0);
+    for (int call = 0; call < 5; call++) {
+      List<Decision> refused = dispatcher.submit(withPart(online(now, 300, false), harmful), now);
+      assertEquals(count(refused, Decision.Quarantined.class), 1);
+    }
+    List<Decision> allowed = dispatcher.submit(online(now, 300, true), now);
+    assertEquals(count(allowed, Decision.Refused.class), 0);
+    List<Decision> later =
+        dispatcher.submit(withPart(item(now + SECOND, 5000), harmful), now + SECOND);
+    assertEquals(count(later, Decision.Quarantined.class), 0);
+  }
+
+  @Test
+  public void responseThatBeganShowsThatItsPartsAreSound() {
+    backend("a", 1, true, 0);
+    for (int server = 0; server < 4; server++) {
+      quarantine.reported(
+          new ServerEnd(
+              HostId.of("h"),
+              BackendServerId.of("ended-" + server),
+              FailureDomainId.of("d-" + server),
+              ImmutableList.of(PromptPartId.of("part")),
+              ImmutableMap.of(),
+              server * SECOND),
+          server * SECOND);
+    }
+    long now = 10 * SECOND;
+    Demand demand = withPart(online(now, 300, false), PromptPartId.of("part"));
+    dispatcher.submit(demand, now);
+    dispatcher.finished(demand.id(), PlacementResult.ANSWERED, true, now);
+    quarantine.decide(now);
+    assertEquals(quarantine.count(now), 0);
+  }
+
   @Test
   public void submit_revokesItemsThatAreDueLastForOnlineWork() {
     backend("a", 2, true, 0);
--- a/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
@@ -39,6 +39,7 @@
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.state.FaultyPlatform;
 import org.trefoilbarrow.state.fleet.BackendServer;
 import org.trefoilbarrow.state.fleet.FleetView;
@@ -113,6 +114,11 @@
     }
 
     long submit(BlockingQueue<String> decisions, String name) {
+      return submit(decisions, name, ImmutableList.of());
+    }
+
+    long submit(
+        BlockingQueue<String> decisions, String name, ImmutableList<PromptPartId> promptParts) {
       DemandSpec demand =
           new DemandSpec(
               "s",
@@ -123,7 +129,8 @@
               System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS),
               true,
               ImmutableSet.of(),
-              name);
+              name,
+              promptParts);
       return on(() -> placements.submit(demand, listener(decisions, name)));
     }
   }
@@ -137,7 +144,7 @@
 
       @Override
       public void refused(RefusalReason reason, long retryAfterMillis) {
-        decisions.add(name + " refused");
+        decisions.add(name + " refused" + (reason == RefusalReason.QUARANTINED ? " for good" : ""));
       }
 
       @Override
@@ -193,6 +200,50 @@
     }
   }
 
+  private static void reportEnds(Host host, PromptPartId part, int first, int count) {
+    host.on(
+        () -> {
+          for (int server = first; server < first + count; server++) {
+            host.placements.reportServerEnd(
+                new BackendServer(
+                    BackendServerId.of("ended-" + server),
+                    "s",
+                    "127.0.0.1",
+                    1,
+                    FailureDomainId.of("d-" + server),
+                    SLOTS,
+                    true,
+                    0),
+                ImmutableList.of(part),
+                System.nanoTime());
+          }
+          return true;
+        });
+  }
+
+  @Test
+  public void endsReportedToTheLastDispatchingHostCountAtTheNextOne() throws Exception {
+    Host first = new Host("a-jobs", false);
+    Host second = new Host("b-jobs", false);
+    Host third = new Host("c-jobs", false);
+    Host callers = new Host("callers", true);
+    registerAll(List.of(first, second, third, callers));
+    awaitDispatchedBy(first, second, third, callers);
+    PromptPartId part = PromptPartId.of("harmful");
+    int missing = QuarantineRules.DEFAULT.unknownPartEnds() - 1;
+    reportEnds(callers, part, 0, missing);
+    leave(first);
+    awaitDispatchedBy(second, third, callers);
+    reportEnds(callers, part, missing, 1);
+    Eventually.that(
+        "the next dispatching host quarantines the part",
+        () -> second.on(() -> second.placements.findQuarantined(List.of(part)).isPresent()));
+    BlockingQueue<String> decisions = new LinkedBlockingQueue<>();
+    callers.submit(decisions, "c", ImmutableList.of(part));
+    assertEquals(decisions.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "c refused for good");
+    assertTrue(callers.on(() -> callers.placements.findQuarantined(List.of(part)).isPresent()));
+  }
+
   @Test
   public void waitingDemandsMoveToNextDispatchingHostAndArePlacedOnce() throws Exception {
     Host first = new Host("a-jobs", false);
