Go on probing after an unexpected failure of the probe

What callers would see: a host no longer notices outages of the platform, nor their end, for good.

Cause: the probe's thread caught only the exception of a platform that does not answer, and ended with any other. No response is known that causes it: the probe reads no objects.

Evidence, before: PlatformProbeTest, 2 failures of 6: "IllegalState the request cannot be made", "StackOverflow the response is too deep". After: 6 tests, no failure.

Change: any other failure is logged with its cause and counts as no answer.

--- a/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformProbe.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformProbe.java
@@ -59,10 +59,13 @@
     } catch (PlatformException e) {
       if (!lost) {
         logger.atInfo().log("platform: probe failed: %s; assuming an outage", e.getMessage());
-        lost = true;
-        onLost.run();
       }
-      return INTERVAL_WHEN_LOST;
+      return reportLost();
+    } catch (RuntimeException | Error e) {
+      if (!lost) {
+        logger.atSevere().withCause(e).log("platform: probe failed; assuming an outage");
+      }
+      return reportLost();
     }
     if (lost) {
       lost = false;
@@ -70,4 +73,12 @@
     }
     return INTERVAL;
   }
+
+  private Duration reportLost() {
+    if (!lost) {
+      lost = true;
+      onLost.run();
+    }
+    return INTERVAL_WHEN_LOST;
+  }
 }
--- a/server/src/test/java/org/trefoilbarrow/transport/platform/PlatformProbeTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/platform/PlatformProbeTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import com.google.common.base.Throwables;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -40,4 +41,31 @@
     }
     assertEquals(reported, expected);
   }
+
+  @DataProvider
+  public Object[][] failures() {
+    return new Object[][] {
+      {new IllegalStateException("the request cannot be made")},
+      {new StackOverflowError("the response is too deep")}
+    };
+  }
+
+  @Test(dataProvider = "failures")
+  public void unexpectedFailureOfTheRequestDoesNotEndTheProbe(Throwable failure) {
+    List<String> reported = new ArrayList<>();
+    AtomicBoolean failing = new AtomicBoolean(true);
+    PlatformProbe probe =
+        new PlatformProbe(
+            () -> {
+              if (failing.get()) {
+                Throwables.throwIfUnchecked(failure);
+              }
+            },
+            () -> reported.add("lost"),
+            () -> reported.add("regained"));
+    probe.probe();
+    failing.set(false);
+    probe.probe();
+    assertEquals(reported, List.of("lost", "regained"));
+  }
 }
