Count a stream without events as broken off

What callers saw: nothing yet; shown by a test.

Cause: the end of the connection ends such a response, and a stream that ended outside an event counted as complete, also one that had no event.

Evidence before the change: FaultyAnswersTest.brokenStreamWithoutFramingIsNotComplete, row "ended without an event": "expected [id: 1 ..." (an empty body was found), and brokenRunOfItemIsNotItsOutput, row "empty": "expected [e1 e2 ...". What passed before: a response without length and chunks, whole or stream, is complete when its connection ends; one that is reset, or ends inside an event, inside a character or before the empty line, is not, for callers and for items.

Change: a stream is complete only if it had an event, in this run or in an earlier one; a caller that resumes may get none.

Open: a stream whose connection ends between two events counts as complete, as the protocol says; a crash there cannot be told from the end.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -41,7 +41,7 @@
     void onEndedBeforeResponse(BackendAttempt attempt);
 
     /** Called when a stream ended after a complete event. */
-    void onStreamComplete(HttpResponse response);
+    void onStreamComplete(BackendAttempt attempt, HttpResponse response);
 
     /** Called when a response that is no stream is complete; the callee releases the body. */
     void onResponseComplete(BackendAttempt attempt, HttpResponse response, ByteBuf body);
@@ -143,7 +143,7 @@
     if (events.isInsideEvent()) {
       listener.onLost(this);
     } else {
-      listener.onStreamComplete(response.get());
+      listener.onStreamComplete(this, response.get());
     }
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -414,7 +414,12 @@
   }
 
   @Override
-  public void onStreamComplete(HttpResponse response) {
+  public void onStreamComplete(BackendAttempt current, HttpResponse response) {
+    if (lastEventId.isEmpty() && !failover.isResponseStarted()) {
+      // A stream has events; only one that is resumed after its last event is empty.
+      onLost(current);
+      return;
+    }
     failover.attemptCompleted();
     releaseSlots(PlacementResult.ANSWERED);
     if (!failover.isResponseStarted()) {
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -325,7 +325,7 @@
       }
       if (notRun || replaced) {
         retryElsewhere(backend, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
-      } else if (status == OK_STATUS && !events.isInsideEvent()) {
+      } else if (status == OK_STATUS && !events.isInsideEvent() && lastEventId.isPresent()) {
         log("done");
         releaseSlot(PlacementResult.ANSWERED);
         done = true;
