Resume a batch item only with a response of the same media type

What callers saw: nothing yet; shown by a test. The same cause as in streams of callers: the text of a signed 200 of another media type became part of an item's output, and the item ended with it.

Cause: ItemRun read each 200 as events, whatever its media type.

Evidence before the change: FaultyAnswersTest.brokenRunOfItemIsNotItsOutput, row "type": "expected [e1 e2 ...", the output held the event of the plain text.

Change: as for callers: a run goes on with the output only with the media type that began it; otherwise it is a lost run, and the item is resumed at another server.

--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -72,6 +72,7 @@
   private final StringBuilder output = new StringBuilder();
   private final Set<BackendServerId> excluded = new HashSet<>();
   private Optional<String> lastEventId = Optional.empty();
+  private Optional<String> streamType = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
   private long demandNumber = -1;
   private long totalRunNanos;
@@ -257,6 +258,7 @@
     private final EventStream events = new EventStream();
     private BackendConnections.Cancellation cancellation = () -> {};
     private int status;
+    private Optional<String> type = Optional.empty();
     private boolean notRun;
     private boolean replaced;
     private boolean responseBegan;
@@ -284,6 +286,7 @@
     public void onHeaders(HttpResponse response, ResponseAttributes attributes) {
       lastProgressNanos = now();
       status = response.status().code();
+      type = EventStream.typeOf(response);
       notRun = attributes.notRun();
       replaced = attributes.replaced();
     }
@@ -291,7 +294,7 @@
     @Override
     public void onBody(ByteBuf part) {
       lastProgressNanos = now();
-      if (status != OK_STATUS) {
+      if (!continuesStream()) {
         return;
       }
       for (EventStream.Event event : events.append(part)) {
@@ -300,11 +303,17 @@
       }
     }
 
+    /** Returns whether the response may begin the output or go on with it. */
+    private boolean continuesStream() {
+      return status == OK_STATUS && (lastEventId.isEmpty() || type.equals(streamType));
+    }
+
     private void appendEvent(EventStream.Event event) {
       if (event.id().isEmpty() || !event.isAfter(lastEventId)) {
         return;
       }
       lastEventId = event.id();
+      streamType = type;
       event
           .data()
           .ifPresent(
@@ -325,7 +334,7 @@
       }
       if (notRun || replaced) {
         retryElsewhere(backend, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
-      } else if (status == OK_STATUS && !events.isInsideEvent() && lastEventId.isPresent()) {
+      } else if (continuesStream() && !events.isInsideEvent() && lastEventId.isPresent()) {
         log("done");
         releaseSlot(PlacementResult.ANSWERED);
         done = true;
