Close a connection on which bytes arrive between two responses

Cause: bytes after a complete response stayed in the decoder of the idle connection until the next response came, if they were no whole head. A refusal that was written once more and cut inside a header took in the status line of the next response as that header's value; the next response's identifier then made it a refusal of the next request.

Evidence before the change: FaultyAnswersTest.bytesAfterResponseDoNotBeginTheNext, row once15 (a cut refusal): "expected [200] but found [503]" for a request that the server ran; row once14 (one character): "expected [200] but found [502]". The third row, an empty line, passed before.

Change: BackendResponseDecoder, in place of the client codec, knows whether a request is open. Bytes that arrive while none is open close the connection, and a connection with bytes beyond a response is not reused. It also decides by the open request, not by a queue that each additional response takes from, whether a response has a body (HEAD).

Open: bytes that arrive after the next request was sent still come before its response; whole responses among them are told by their identifier, a head cut inside a header is not.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
@@ -13,8 +13,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -120,6 +120,7 @@
   /** One connection and the handler of its open request, if any. */
   private final class Connection extends ChannelInboundHandlerAdapter {
     private final BackendServer backend;
+    private final BackendResponseDecoder decoder = new BackendResponseDecoder();
     private Channel channel;
     private BackendResponseHandler handler;
     private boolean sent;
@@ -146,7 +147,9 @@
                   new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel created) {
-                      created.pipeline().addLast(new HttpClientCodec(), Connection.this);
+                      created
+                          .pipeline()
+                          .addLast(decoder, new HttpRequestEncoder(), Connection.this);
                     }
                   })
               .connect(backend.address(), backend.port());
@@ -167,6 +170,7 @@
 
     void write(FullHttpRequest request) {
       sent = true;
+      decoder.beginRequest(request.method());
       channel.writeAndFlush(request);
     }
 
@@ -270,7 +274,8 @@
     private void complete(ChannelHandlerContext context) {
       BackendResponseHandler finishedHandler = handler;
       handler = null;
-      if (keepAlive && context.channel().isActive() && finishedHandler != null) {
+      boolean inStep = decoder.endRequest();
+      if (keepAlive && inStep && context.channel().isActive() && finishedHandler != null) {
         long millis = idleMillis > 0 ? idleMillis : DEFAULT_IDLE_TIMEOUT.toMillis();
         reusableUntilNanos =
             nanoClock.getAsLong() + (long) (Duration.ofMillis(millis).toNanos() * IDLE_FRACTION);
