Keep a caller's connection as long as any idle limit that it may rely on

What callers saw: after a change that lowered idleTimeoutMs, a request on a connection that had been idle for less than the old limit met a closed connection. With a limit shorter than a request's arrival, the connection was closed while the body came in. Neither got an answer nor a refusal.

Class: a promise is taken back before callers can know it; a state derived from responses only.

Evidence: ChangedLimitsTest on: "expected [HTTP/1.1 200 OK] but found [closed after ""]" for the lowered limit, and SocketException "Broken pipe" for the slow body. Both pass after, with IdleTimeoutTest (5 sequences), BadInputTest and WholePathTest.

Change: IdleTimeout applies a longer limit at once and a shorter one after 5 s, the target's time for a change to be in force everywhere; a connection that is idle already keeps the longest limit since its last activity. Bytes that arrive are activity; a connection on which a request arrives is not idle. Since bytes now extend the idle time, a request's headers must arrive within headerTimeoutMs, which was not enforced before.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -42,9 +42,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.trefoilbarrow.coordination.connection.IdleTimeout;
 import org.trefoilbarrow.coordination.drain.DrainSchedule;
 import org.trefoilbarrow.protocol.ErrorKind;
 import org.trefoilbarrow.protocol.ErrorResponse;
@@ -85,6 +87,8 @@
   private final Set<Connection> connections = new LinkedHashSet<>();
   private final Set<ForwardedCall> calls = new HashSet<>();
   private final Map<String, Long> longestDeadlines = new HashMap<>();
+  private final IdleTimeout idleTimeout = new IdleTimeout();
+  private long idleNanos;
   private boolean ready;
   private Optional<DrainSchedule> drain = Optional.empty();
 
@@ -130,7 +134,7 @@
     return drain.isPresent() && !drain.get().acceptsRequests(now);
   }
 
-  /** Closes the connections that have no request in progress. */
+  /** Closes the connections on which no request is in progress or arriving. */
   public void closeIdleConnections() {
     for (Connection connection : ImmutableList.copyOf(connections)) {
       if (connection.isIdle()) {
@@ -139,7 +143,7 @@
     }
   }
 
-  /** Returns the number of requests in progress. */
+  /** Returns the number of requests that are in progress or arriving. */
   public int activeCount() {
     return (int) connections.stream().filter(connection -> !connection.isIdle()).count();
   }
@@ -159,13 +163,16 @@
               @Override
               protected void initChannel(Channel created) {
                 CallerLimits limits = limits();
+                Connection connection = new Connection();
                 created
                     .pipeline()
                     .addLast(
+                        new InboundObserver(bytes -> connection.onBytesReceived()),
                         new HttpServerCodec(
                             MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES),
+                        new InboundObserver(connection::onPartReceived),
                         new HttpObjectAggregator(limits.maxBodyBytes()),
-                        new Connection());
+                        connection);
               }
             })
         .bind(address, port)
@@ -190,9 +197,11 @@
     for (ForwardedCall call : ImmutableList.copyOf(calls)) {
       call.checkProgress(now);
     }
-    long idleNanos = Duration.ofMillis(limits().idleTimeoutMillis()).toNanos();
+    CallerLimits limits = limits();
+    idleNanos = Duration.ofMillis(idleTimeout.update(limits.idleTimeoutMillis(), now)).toNanos();
+    long headerNanos = Duration.ofMillis(limits.headerTimeoutMillis()).toNanos();
     for (Connection connection : ImmutableList.copyOf(connections)) {
-      if (connection.isIdle() && now - connection.lastActiveNanos > idleNanos) {
+      if (connection.isTimedOut(now, headerNanos)) {
         connection.channel.close();
       }
     }
@@ -204,10 +213,40 @@
     private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
     private Channel channel;
     private long lastActiveNanos = services.nanoClock().getAsLong();
+    private long maxIdleNanos = idleNanos;
+    private OptionalLong headerStartNanos = OptionalLong.empty();
+    private boolean receivesBody;
     private Optional<Response> response = Optional.empty();
 
     boolean isIdle() {
-      return response.isEmpty();
+      return response.isEmpty() && !receivesBody && headerStartNanos.isEmpty();
+    }
+
+    boolean isTimedOut(long now, long headerNanos) {
+      maxIdleNanos = Math.max(maxIdleNanos, idleNanos);
+      if (response.isPresent()) {
+        return false;
+      }
+      boolean headerIsLate =
+          headerStartNanos.isPresent() && now - headerStartNanos.getAsLong() > headerNanos;
+      return headerIsLate || now - lastActiveNanos > maxIdleNanos;
+    }
+
+    void onBytesReceived() {
+      markActive();
+      if (!receivesBody && headerStartNanos.isEmpty()) {
+        headerStartNanos = OptionalLong.of(lastActiveNanos);
+      }
+    }
+
+    void onPartReceived(Object part) {
+      headerStartNanos = OptionalLong.empty();
+      receivesBody = !(part instanceof LastHttpContent);
+    }
+
+    private void markActive() {
+      lastActiveNanos = services.nanoClock().getAsLong();
+      maxIdleNanos = idleNanos;
     }
 
     @Override
@@ -233,7 +272,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      lastActiveNanos = services.nanoClock().getAsLong();
+      markActive();
       if (response.isPresent()) {
         if (waiting.size() >= MAX_PIPELINED_REQUESTS) {
           context.close();
@@ -261,7 +300,7 @@
 
     void responseCompleted(boolean close) {
       response = Optional.empty();
-      lastActiveNanos = services.nanoClock().getAsLong();
+      markActive();
       if (close) {
         return;
       }
