Give requests in progress the time of a raised timeout

What callers saw: beside a change of the configuration that raised a route's timeoutMs, a request was cut or got 504 at the old timeout, though the new one was in force and its backend server went on.

Cause: a call copied the timeout when it arrived, and told its backend server the rest of it as the deadline. Class: a decision of the operator is copied when work starts and not followed.

Evidence: ChangedLimitsTest.streamIsNotCutAtTimeoutThatWasRaisedMeanwhile failed on and on the commit before this one: "java.io.IOException: chunked transfer encoding, state: READING_LENGTH". It passes after, with the two other tests of ChangedLimitsTest, SilentServerTest and WholePathTest (26 in all).

Change: when the configuration changes, each call takes the longest timeout of its route that was in force during the call; none is shortened. Backend servers are told how long the caller waits; at the route's timeout the host closes the connection, which makes them drop the request. Log event "more time".

--- a/server/src/main/java/org/trefoilbarrow/coordination/failover/Failover.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/failover/Failover.java
@@ -1,5 +1,6 @@
 package org.trefoilbarrow.coordination.failover;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.time.Duration;
@@ -49,7 +50,7 @@
   private final int maxRuns;
   private final long eventSilenceNanos;
   private final long firstResponseNanos;
-  private final long deadlineNanos;
+  private long deadlineNanos;
   private int runs;
   private int unprocessedSends;
   private boolean responseStarted;
@@ -86,6 +87,16 @@
     return requestSlot();
   }
 
+  /** Sets a later time at which the request's time is over. */
+  public void extendDeadline(long deadlineNanos) {
+    checkArgument(
+        deadlineNanos - this.deadlineNanos >= 0,
+        "deadlineNanos must not be before %s: %s",
+        this.deadlineNanos,
+        deadlineNanos);
+    this.deadlineNanos = deadlineNanos;
+  }
+
   /** Records that the requested slot was assigned. */
   public Step slotAssigned(long nowNanos) {
     slotRequested = false;
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -16,6 +16,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
@@ -24,6 +25,7 @@
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.ErrorKind;
 import org.trefoilbarrow.state.fleet.BackendServer;
+import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.Organisation;
 import org.trefoilbarrow.state.fleet.Route;
 import org.trefoilbarrow.transport.link.DemandSpec;
@@ -50,10 +52,10 @@
   private final Runnable onDone;
   private final boolean retriedByCaller;
   private final long startNanos;
-  private final long deadlineNanos;
+  private long deadlineNanos;
   private final Failover failover;
   private final Set<BackendServerId> excluded = new HashSet<>();
-  private final ScheduledFuture<?> timeout;
+  private ScheduledFuture<?> timeout;
   private Optional<Slot> requestedSlot = Optional.empty();
   private Optional<Slot> usedSlot = Optional.empty();
   private Optional<BackendAttempt> attempt = Optional.empty();
@@ -80,11 +82,35 @@
     this.onDone = checkNotNull(onDone, "onDone");
     this.startNanos = now();
     this.lastEventId = attributes.resumeAfter();
-    long timeoutMillis =
-        Math.min(route.timeoutMillis(), attributes.deadlineMillis().orElse(Long.MAX_VALUE));
-    this.deadlineNanos = startNanos + timeoutMillis * NANOS_IN_MILLI;
+    this.deadlineNanos = deadlineNanos(route.timeoutMillis());
     this.failover = new Failover(route, startNanos, deadlineNanos);
-    this.timeout = services.loop().schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+    this.timeout = scheduleTimeout();
+  }
+
+  private long deadlineNanos(long timeoutMillis) {
+    long limitMillis = Math.min(timeoutMillis, attributes.deadlineMillis().orElse(Long.MAX_VALUE));
+    return startNanos + limitMillis * NANOS_IN_MILLI;
+  }
+
+  private ScheduledFuture<?> scheduleTimeout() {
+    return services.loop().schedule(this::onTimeout, deadlineNanos - now(), TimeUnit.NANOSECONDS);
+  }
+
+  /** Gives the request more time if a new configuration does; never takes any away. */
+  void onCatalogChanged(Catalog catalog) {
+    long limitNanos =
+        catalog.routes().stream()
+            .filter(found -> found.name().equals(route.name()))
+            .mapToLong(found -> deadlineNanos(found.timeoutMillis()))
+            .findFirst()
+            .orElse(deadlineNanos);
+    if (!done && limitNanos - deadlineNanos > 0) {
+      deadlineNanos = limitNanos;
+      failover.extendDeadline(limitNanos);
+      timeout.cancel(false);
+      timeout = scheduleTimeout();
+      log("more time");
+    }
   }
 
   /** Requests the first slot. */
@@ -194,7 +220,7 @@
                 HopByHopHeaders.removeFrom(request.headers()),
                 backend,
                 organisation.map(Organisation::id),
-                (deadlineNanos - now()) / NANOS_IN_MILLI,
+                remainingMillis(),
                 lastEventId);
     if (request.content().isReadable()) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
@@ -231,6 +257,17 @@
         && (!failover.isResponseStarted() || streamType.equals(EventStream.typeOf(response)));
   }
 
+  /**
+   * Returns for how long the caller waits, in milliseconds. The route's timeout may be raised
+   * later, so that a backend server that knew it would end too early.
+   */
+  private long remainingMillis() {
+    OptionalLong deadlineMillis = attributes.deadlineMillis();
+    return deadlineMillis.isPresent()
+        ? deadlineMillis.getAsLong() - (now() - startNanos) / NANOS_IN_MILLI
+        : (deadlineNanos - now()) / NANOS_IN_MILLI;
+  }
+
   private void onRefused(RefusalReason reason, long retryAfterMillis) {
     switch (failover.slotRefused(retryAfterMillis * NANOS_IN_MILLI, now())) {
       case FAIL -> endWithoutResult("no slot: " + reason);
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -88,6 +88,7 @@
   private final Set<ForwardedCall> calls = new HashSet<>();
   private final Map<String, Long> longestDeadlines = new HashMap<>();
   private final IdleTimeout idleTimeout = new IdleTimeout();
+  private Optional<Catalog> lastCatalog = Optional.empty();
   private long idleNanos;
   private boolean ready;
   private Optional<DrainSchedule> drain = Optional.empty();
@@ -194,7 +195,13 @@
 
   private void sweep() {
     long now = services.nanoClock().getAsLong();
+    Optional<Catalog> catalog = services.fleet().catalog();
+    boolean catalogChanged = !catalog.equals(lastCatalog);
+    lastCatalog = catalog;
     for (ForwardedCall call : ImmutableList.copyOf(calls)) {
+      if (catalogChanged) {
+        catalog.ifPresent(call::onCatalogChanged);
+      }
       call.checkProgress(now);
     }
     CallerLimits limits = limits();
