End a run whose response has no end

A whole response without end filled the host's memory; an event without end was read until the deadline.

Cause: the buffer of a whole response had no limit. An event beyond its limit was dropped, and what followed was read as events again: its tail could be forwarded as an event.

Evidence before the change: FaultyAnswersTest.endlessBytesDoNotFillMemory: row once13 (body) "the host read bytes", rows of stream2: "the host read bytes" and " bytes", with a limit of 32 MB in the test, a quarter of the test host's heap. Endless heads (status line, one header, many headers) passed before: the decoder limits them.

Change: a run whose whole response exceeds 4 MB, or that has an event over 1 MB, is lost: its connection is closed at once, and the request is repeated where its route allows that. Nothing is read of a stream after an event that is too long.

Open: the limit holds for each response; that of all together is their number times 4 MB.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -14,6 +14,9 @@
 
 /** One attempt of a caller's request at one backend server: reads the response and reports it. */
 final class BackendAttempt implements BackendResponseHandler {
+  /** The most bytes of a whole response that are buffered. */
+  private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
   private final BackendServer backend;
   private final String requestId;
   private final Predicate<HttpResponse> isStream;
@@ -110,13 +113,29 @@
   public void onBody(ByteBuf part) {
     listener.onProgress(this, streaming);
     if (!streaming) {
-      body.writeBytes(part);
+      readWholeResponse(part);
       return;
     }
     for (EventStream.Event event : events.append(part)) {
       responseBegan = true;
       listener.onEvent(response.get(), event);
     }
+    if (events.isTooLong()) {
+      endTooLongResponse();
+    }
+  }
+
+  private void readWholeResponse(ByteBuf part) {
+    if (body.readableBytes() + part.readableBytes() > MAX_RESPONSE_BYTES) {
+      endTooLongResponse();
+    } else {
+      body.writeBytes(part);
+    }
+  }
+
+  private void endTooLongResponse() {
+    cancel();
+    listener.onLost(this);
   }
 
   @Override
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/EventStream.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/EventStream.java
@@ -73,7 +73,7 @@
   /** Appends a part of the body and returns the events that it completes. */
   public ImmutableList<Event> append(ByteBuf part) {
     ImmutableList.Builder<Event> events = ImmutableList.builder();
-    while (part.isReadable()) {
+    while (part.isReadable() && !tooLong) {
       byte next = part.readByte();
       partial.write(next);
       if (next == '\n') {
@@ -93,6 +93,11 @@
     return events.build();
   }
 
+  /** Returns whether an event exceeded the limit; nothing is read after that. */
+  public boolean isTooLong() {
+    return tooLong;
+  }
+
   /** Returns whether the last event is incomplete, or an event exceeded the limit. */
   public boolean isInsideEvent() {
     return tooLong || partial.size() > 0;
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -301,6 +301,10 @@
         responseBegan = true;
         appendEvent(event);
       }
+      if (events.isTooLong()) {
+        log("lost");
+        retryElsewhere(backend, PlacementResult.FAILED);
+      }
     }
 
     /** Returns whether the response may begin the output or go on with it. */
