Read on after each informational response

What callers saw: nothing yet; shown by a test. A server's 103 was passed on as the final response, and the caller waited for one until it gave up.

Cause: only 100 counted as informational.

Evidence before the change: FaultyAnswersTest.informationalResponseIsNotTheFinalOne: "expected [200] but found [0]", after 15 s.

Change: all statuses from 100 to 199 are skipped, but for 101: no request asks for another protocol, so its bytes are no response.

After: 65 of 65 rows of FaultyAnswersTest pass.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
@@ -225,13 +225,14 @@
     }
 
     /**
-     * Reads the status and headers of a response. Returns false if a success has no signature, so
-     * that no backend server can have sent it.
+     * Reads the status and headers of a response. Returns false if no backend server can have sent
+     * it: a success without a signature, or a change of protocol.
      */
     private boolean readHeaders(HttpResponse response) {
-      if (response.status().code() == HttpResponseStatus.CONTINUE.code()) {
+      if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
         responseIgnored = true;
-        return true;
+        // No request asks for another protocol.
+        return !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
       }
       ResponseAttributes attributes = dialect.responseAttributes(response);
       responseIgnored = !isResponseToOpenRequest(attributes);
