Answer the requests that wait on a connection before a stopping host closes it

What callers saw: after SIGTERM, a whole request that had been sent behind another on its connection got neither an answer nor a refusal.

Cause: the response to the first request announced and made the close, and the requests that waited behind it were dropped. Class: a close is decided without a look at what has been accepted.

Evidence: PipelinedRequestTest on: "expected [2] but found [1]" answers. It passes after, with WholePathTest. It is not known whether the reporters' callers send requests so.

Change: while the host stops, a response announces the close only if no request waits behind it. Requests behind one that itself asks for the close stay unanswered, as HTTP has it.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -630,7 +630,8 @@
     }
 
     private void announceClose(HttpHeaders headers) {
-      closeAfter |= drain.isPresent();
+      // A request that already waits behind this one could not be answered on a closed connection.
+      closeAfter |= drain.isPresent() && connection.waiting.isEmpty();
       if (closeAfter) {
         headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       }
