Give up a job's items only when its batch route has ended for all hosts

What callers saw: items of an accepted job were listed as dead_lettered beside a change of the routes, though the job's route was still there.

Cause: the host that runs a job looked its route up as a request's: a route of another kind with a longer prefix hid it, and one look at the newest configuration that this host had read decided for good. A host that had read less than the one that accepted the job found no route at all. Class: a final decision is based on one host's present view.

The late reader was not reproduced between hosts: only its decision is tested.

Change: Catalog.batchRoute looks only at batch routes; RequestJobProgress.hasRouteEnded says so when the route has been missing for 5 s, the target's time for a change to be in force everywhere. Until then the job's items are not started. Items that run already keep their route, as before.

--- a/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.trefoilbarrow.protocol.RequestJob;
 import org.trefoilbarrow.protocol.RequestJob.JobItem;
@@ -27,12 +29,19 @@
  * it. Not thread-safe.
  */
 public final class RequestJobProgress {
+  /**
+   * The time within which a change of the configuration is known everywhere; until then, the host
+   * that accepted the job may know a route that this one does not.
+   */
+  private static final Duration CHANGE_DELAY = Duration.ofSeconds(5);
+
   private final RequestJob job;
   private final Map<String, JobItem> items = new LinkedHashMap<>();
   private final List<Result> visible = new ArrayList<>();
   private final Set<String> visibleItems = new HashSet<>();
   private final Map<String, Result> outcomes = new LinkedHashMap<>();
   private final Map<String, Integer> failedAttempts = new HashMap<>();
+  private OptionalLong routeMissingSinceNanos = OptionalLong.empty();
   private int nextPartNumber;
   private boolean cancelled;
 
@@ -49,6 +58,23 @@
     return job;
   }
 
+  /**
+   * Returns whether the job's route has ended: it has been missing for so long that no
+   * configuration in force has it.
+   *
+   * @param present whether the newest configuration that this host knows has the route
+   */
+  public boolean hasRouteEnded(boolean present, long nowNanos) {
+    if (present) {
+      routeMissingSinceNanos = OptionalLong.empty();
+      return false;
+    }
+    if (routeMissingSinceNanos.isEmpty()) {
+      routeMissingSinceNanos = OptionalLong.of(nowNanos);
+    }
+    return nowNanos - routeMissingSinceNanos.getAsLong() >= CHANGE_DELAY.toNanos();
+  }
+
   /** Returns the item with the given identifier. */
   public Optional<JobItem> item(String id) {
     return Optional.ofNullable(items.get(id));
--- a/server/src/main/java/org/trefoilbarrow/state/fleet/Catalog.java
+++ b/server/src/main/java/org/trefoilbarrow/state/fleet/Catalog.java
@@ -42,8 +42,17 @@
 
   /** Returns the route of a host name whose prefix is the longest match for the path. */
   public Optional<Route> route(String hostName, String path) {
+    return routes.stream().filter(route -> route.matches(hostName, path)).findFirst();
+  }
+
+  /**
+   * Returns the batch route of a host name whose prefix is the longest match for the path. A route
+   * of another kind with a longer prefix does not hide it, since it gets requests, not jobs.
+   */
+  public Optional<Route> batchRoute(String hostName, String path) {
     return routes.stream()
-        .filter(route -> route.hostName().equals(hostName) && path.startsWith(route.pathPrefix()))
+        .filter(route -> route.requestKind() == Route.RequestKind.BATCH)
+        .filter(route -> route.matches(hostName, path))
         .findFirst();
   }
 
--- a/server/src/main/java/org/trefoilbarrow/state/fleet/Route.java
+++ b/server/src/main/java/org/trefoilbarrow/state/fleet/Route.java
@@ -71,6 +71,11 @@
     targets = ImmutableList.copyOf(targets);
   }
 
+  /** Returns whether a request to the host name and path may use this route. */
+  public boolean matches(String requestedHostName, String path) {
+    return hostName.equals(requestedHostName) && path.startsWith(pathPrefix);
+  }
+
   /** Selects a service by weight; equal hashes select the same service. */
   public String selectService(int hash) {
     int total = targets.stream().mapToInt(WeightedTarget::weight).sum();
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -161,10 +161,12 @@
       return;
     }
     Optional<Route> route =
-        catalog
-            .get()
-            .route(progress.job().hostName(), progress.job().path())
-            .filter(found -> found.requestKind() == Route.RequestKind.BATCH);
+        catalog.get().batchRoute(progress.job().hostName(), progress.job().path());
+    boolean routeEnded =
+        progress.hasRouteEnded(route.isPresent(), services.nanoClock().getAsLong());
+    if (route.isEmpty() && !routeEnded) {
+      return;
+    }
     for (JobItem item : progress.unfinishedItems()) {
       if (activeItems >= MAX_ACTIVE_ITEMS) {
         return;
--- a/server/src/test/java/org/trefoilbarrow/coordination/jobs/RequestJobProgressTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/jobs/RequestJobProgressTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -43,6 +45,28 @@
     assertFalse(progress.isComplete());
   }
 
+  /** Each line: the time in ms, whether the route is present, whether it has ended. */
+  @DataProvider
+  public Object[][] routes() {
+    return new Object[][] {
+      {List.of("0 true false", "9000 true false")},
+      {List.of("0 false false", "4999 false false", "5000 false true")},
+      {List.of("0 false false", "4000 true false", "5000 false false", "9999 false false")},
+      {List.of("0 true false", "100 false false", "5099 false false", "5100 false true")}
+    };
+  }
+
+  @Test(dataProvider = "routes")
+  public void routeHasEndedOnlyWhenNoHostCanKnowIt(List<String> lines) {
+    RequestJobProgress progress = new RequestJobProgress(job(1));
+    for (String line : lines) {
+      List<String> parts = Splitter.on(' ').splitToList(line);
+      long nowNanos = Duration.ofMillis(Long.parseLong(parts.get(0))).toNanos();
+      boolean ended = progress.hasRouteEnded(Boolean.parseBoolean(parts.get(1)), nowNanos);
+      assertEquals(String.valueOf(ended), parts.get(2), line);
+    }
+  }
+
   @Test
   public void recordFailedAttempt_failsTheItemAfterItsLastAttempt() {
     RequestJobProgress progress = new RequestJobProgress(job(1));
