--- a/server/src/test/java/org/trefoilbarrow/coordination/failover/FailoverTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/failover/FailoverTest.java
@@ -48,6 +48,10 @@
       case "check" -> failover.check(nowNanos);
       case "lost" -> failover.attemptLost(nowNanos);
       case "notRun" -> failover.attemptNotRun(nowNanos);
+      case "moreTime" -> {
+        failover.extendDeadline(nowNanos + Duration.ofMillis(DEADLINE_MILLIS).toNanos());
+        yield Failover.Step.NONE;
+      }
       default -> throw new IllegalArgumentException("unknown event \"" + event + "\"");
     };
   }
@@ -85,6 +89,7 @@
       },
       {"no time to ask", stream, 2, BEGUN + "4996 check NONE"},
       {"no time to move", stream, 2, SILENT + "4996 assigned WITHDRAW_REQUEST; 4998 event NONE"},
+      {"more time", stream, 2, SILENT + "4990 moreTime NONE; 4996 assigned MOVE"},
       {"assigned too late", stream, 2, "0 start REQUEST_SLOT; 4996 assigned EXPIRE"},
       {"broken once too often", stream, 2, MOVED + "700 lost FAIL"},
       {"one attempt", stream, 1, BEGUN + "3000 check NONE; 3001 lost FAIL"},
