Count a resumed run without an event and without framing as broken off

What callers saw: nothing yet; found by review and shown by a test. A stream had begun and broke off; the next server sent the head of a 200 without length and chunks and ended. The caller's stream then ended as if complete after its first events, and a batch item kept half of its output (ORDER, MIXED).

Cause: an unframed response ends with its connection, and the rule that a stream without events is broken off looked at the whole request instead of the run.

Evidence, before: FaultyAnswersTest.streamResumedWithoutAnyEventIsNotComplete "the incomplete stream looks complete expected [false] but found [true]"; brokenRunOfItemIsNotItsOutput, row "resumed", "expected [e1".

Change: a run without an event is complete only if its framing says so.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -159,7 +159,8 @@
 
   private void endStream() {
     reportUnlessBegan();
-    if (events.isInsideEvent()) {
+    boolean mayBeCut = !responseBegan && !BackendConnections.isFramed(response.get());
+    if (events.isInsideEvent() || mayBeCut) {
       listener.onLost(this);
     } else {
       listener.onStreamComplete(this, response.get());
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
@@ -84,7 +84,7 @@
   }
 
   /** Returns whether a response states its own end, and does not end with its connection. */
-  static boolean isFramed(HttpResponse response) {
+  public static boolean isFramed(HttpResponse response) {
     return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -262,6 +262,7 @@
     private boolean notRun;
     private boolean replaced;
     private boolean responseBegan;
+    private boolean framed;
     private boolean ended;
     private final long sentNanos = now();
     private long lastProgressNanos = sentNanos;
@@ -287,6 +288,7 @@
       lastProgressNanos = now();
       status = response.status().code();
       type = EventStream.typeOf(response);
+      framed = BackendConnections.isFramed(response);
       notRun = attributes.notRun();
       replaced = attributes.replaced();
     }
@@ -338,7 +340,7 @@
       }
       if (notRun || replaced) {
         retryElsewhere(backend, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
-      } else if (continuesStream() && !events.isInsideEvent() && lastEventId.isPresent()) {
+      } else if (isWholeOutput()) {
         log("done");
         releaseSlot(PlacementResult.ANSWERED);
         done = true;
@@ -359,6 +361,14 @@
       }
     }
 
+    /** Returns whether the run that has ended completed the output. */
+    private boolean isWholeOutput() {
+      return continuesStream()
+          && !events.isInsideEvent()
+          && lastEventId.isPresent()
+          && (responseBegan || framed);
+    }
+
     private void handleServerError() {
       log("failed");
       if (progress.recordFailedAttempt(item.id(), Math.max(1, route.maxAttempts()))) {
