Count only a server's 500 as a failed attempt of a batch item

What callers saw: nothing yet; found by review and shown by a test. An item that met a server's 503 without the not-run mark as often as its route allows attempts was listed as dead_lettered (MIXED).

Cause: ItemRun counted every status from 500 on; 503 and 504 say nothing about the item.

Evidence, before: FaultyAnswersTest.brokenRunOfItemIsNotItsOutput, row "full": "expected [e1" (the item had no output). After: FaultyAnswersTest and JobRouteTest pass.

Change: only 500 counts; after any other failure the item is tried at another server.

--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -57,6 +57,10 @@
   private static final Duration RETRY_DELAY = Duration.ofMillis(200);
   private static final int UNPROCESSABLE_STATUS = 422;
   private static final int OK_STATUS = 200;
+
+  /** The only status that counts as a failed attempt; others say nothing about the item. */
+  private static final int FAILED_STATUS = 500;
+
   private static final int RANKS_PER_PRIORITY = 1000;
   private static final long NANOS_IN_MILLI = 1_000_000;
 
@@ -354,7 +358,7 @@
         done = true;
         progress.recordPermanentFailure(item.id());
         runner.endRun(progress, item.id());
-      } else if (status >= 500) {
+      } else if (status == FAILED_STATUS) {
         handleServerError();
       } else {
         retryElsewhere(backend, PlacementResult.FAILED);
