Count only a refused or unanswered connection as the end of a backend server

Found by review, by reading: a check that failed for the host's own reasons (no descriptors left, no route) counted as the end of the server, so that a host in trouble could make sound prompt parts suspect; on a lack of descriptors the result also arrives on a foreign thread.

Change: only a refusal or a timeout of the connection shows an end, and results are handled on the event loop. HarmfulPromptTest covers the refused connection; the other cases have no test.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ServerEndDetector.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ServerEndDetector.java
@@ -5,12 +5,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -101,23 +101,24 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
             .handler(new ChannelInboundHandlerAdapter())
             .connect(check.backend.address(), check.backend.port());
-    Channel channel = connecting.channel();
-    connecting.addListener(
-        done -> {
-          channel.close();
-          if (!done.isSuccess()) {
-            checks.remove(check.backend.id());
-            for (ImmutableList<PromptPartId> parts : check.prompts) {
-              listener.ended(check.backend, parts, check.brokenNanos);
-            }
-          } else if (mayRepeat) {
-            loop.schedule(
-                () -> connect(check, false), SECOND_CHECK_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-          } else {
-            checks.remove(check.backend.id());
-            logger.atFine().log(
-                "backend: connections to %s broke, but it accepts others", check.backend.id());
-          }
-        });
+    connecting.addListener(done -> loop.execute(() -> onChecked(check, connecting, mayRepeat)));
+  }
+
+  private void onChecked(Check check, ChannelFuture connecting, boolean mayRepeat) {
+    connecting.channel().close();
+    // Other failures, such as a lack of descriptors, are this host's own.
+    boolean ended = connecting.cause() instanceof ConnectException;
+    if (connecting.isSuccess() && mayRepeat) {
+      loop.schedule(
+          () -> connect(check, false), SECOND_CHECK_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+      return;
+    }
+    checks.remove(check.backend.id());
+    if (ended) {
+      check.prompts.forEach(parts -> listener.ended(check.backend, parts, check.brokenNanos));
+    } else {
+      logger.atFine().withCause(connecting.cause()).log(
+          "backend: connections to %s broke, but no check shows its end", check.backend.id());
+    }
   }
 }
