Admit a server again that was only silent

What callers saw: nothing yet; found by review and shown by a test. A stream whose server was silent was moved; the next server refused it as full, and the stream was cut at its deadline, though the first server was sound: with two servers none was left (LOST).

Cause: the servers that a request must not go to again only grew, also by silence, which is no failure.

Evidence, before: SilentServerTest.movedStreamThatIsRefusedReturnsToTheServerThatWasSilent, "IOException: chunked transfer encoding, state: READING_LENGTH" after its 4 s. After: SilentServerTest, FailoverTest, FaultyAnswersTest and PipelinedRequestTest pass.

Change: a server that was only silent is admitted again once it goes on, or once the next one has refused. Open: a move still gives up the silent attempt before the next server has accepted the request.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -55,6 +55,7 @@
   private long deadlineNanos;
   private final Failover failover;
   private final Set<BackendServerId> excluded = new HashSet<>();
+  private Optional<BackendServerId> silentBackend = Optional.empty();
   private ScheduledFuture<?> timeout;
   private Optional<Slot> requestedSlot = Optional.empty();
   private Optional<Slot> usedSlot = Optional.empty();
@@ -136,6 +137,7 @@
         current -> {
           logAttempt("silent", current, "silentMillis", silentMillis());
           excluded.add(current.backend().id());
+          silentBackend = Optional.of(current.backend().id());
         });
     requestSlot(Optional.empty(), true);
   }
@@ -170,6 +172,12 @@
     slot.number = services.placements().submit(demand, slot);
   }
 
+  /** Admits the server again that was only silent, which is no failure. */
+  private void readmitSilentBackend() {
+    silentBackend.ifPresent(excluded::remove);
+    silentBackend = Optional.empty();
+  }
+
   private void withdrawRequest() {
     requestedSlot.ifPresent(slot -> slot.release(PlacementResult.CANCELLED, false));
     requestedSlot = Optional.empty();
@@ -423,6 +431,7 @@
     if (failover.progressed(streaming, now()) == Failover.Step.WITHDRAW_REQUEST) {
       logAttempt("went on", current, "silentMillis", silentMillis);
       withdrawRequest();
+      readmitSilentBackend();
     }
   }
 
@@ -511,6 +520,7 @@
   @Override
   public void onNotRun(BackendAttempt rejected, PlacementResult result) {
     logAttempt("unrun", rejected, "result", result);
+    readmitSilentBackend();
     excluded.add(rejected.backend().id());
     releaseUsedSlot(result);
     switch (failover.attemptNotRun(now())) {
