Check a server whose unframed answer ended before it began

Found by review, by reading: a server that ended after the head of a whole answer without length and chunks, or of a batch item's run, left no report, so that prompts that end servers were not found there.

Change: such an end makes the host check the server, as a broken connection does.

--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -152,8 +152,7 @@
     } else if (streaming) {
       endStream();
     } else {
-      responseBegan = isSuccess(response.get()) && BackendConnections.isFramed(response.get());
-      listener.onResponseComplete(this, response.get(), body);
+      endWholeResponse();
     }
   }
 
@@ -167,6 +166,16 @@
     }
   }
 
+  private void endWholeResponse() {
+    if (BackendConnections.isFramed(response.get())) {
+      responseBegan = isSuccess(response.get());
+    } else {
+      // The end of the connection may be that of the server.
+      reportUnlessBegan();
+    }
+    listener.onResponseComplete(this, response.get(), body);
+  }
+
   private static boolean isSuccess(HttpResponse response) {
     return response.status().codeClass() == HttpStatusClass.SUCCESS;
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -342,6 +342,9 @@
       if (done) {
         return;
       }
+      if (!framed) {
+        checkServerUnlessBegan();
+      }
       if (notRun || replaced) {
         retryElsewhere(backend, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
       } else if (isWholeOutput()) {
@@ -384,13 +387,19 @@
       }
     }
 
+    private void checkServerUnlessBegan() {
+      if (!replaced && !notRun && !responseBegan) {
+        services.serverEnds().broken(backend, promptParts);
+      }
+    }
+
     @Override
     public void onBroken(boolean sent) {
       ended = true;
       if (!done) {
         log("lost");
-        if (sent && !replaced && !notRun && !responseBegan) {
-          services.serverEnds().broken(backend, promptParts);
+        if (sent) {
+          checkServerUnlessBegan();
         }
         retryElsewhere(backend, replaced ? PlacementResult.REPLACED : PlacementResult.FAILED);
       }
