--- a/review/2/Case.java
+++ b/review/2/Case.java
@@ -1,97 +1,105 @@
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import review.Deployment;
 import review.Engine;
 
-/** A job's results are collected while the store is down, and are then too large for one object. */
+/**
+ * A version moves the route of batch jobs to another service, and the worker of the former service
+ * is emptied and taken away. The items that had not run yet are never run.
+ */
 public final class Case {
-  private static final int ITEMS = 200;
+  private static final int JOBS = 12;
+  private static final int ITEMS = 10;
   private static final int EVENTS = 203;
 
-  /** The data of an event: a few words of a pattern text in Mongolian. */
-  private static final String[] WORDS = {
-    "алтан соёмбо улаан даавуун дээр",
-    "хөх тэнгэрийн дэвсгэр дээр нар",
-    "хээ угалзтай захыг хатгамалаар",
-    "цагаан утсаар давхар хатгана"
-  };
-
-  private static final long OUTAGE_MILLIS = 3_000;
-
   public static void main(String[] arguments) {
     Deployment.main(arguments[0], Case::run);
   }
 
   private static int run(Deployment deployment) throws Exception {
-    Map<String, Integer> whole = new ConcurrentHashMap<>();
-    AtomicLong lastEnd = new AtomicLong();
+    Map<String, Integer> runs = new ConcurrentHashMap<>();
+    AtomicLong lastEnd = new AtomicLong(System.nanoTime());
     Engine.Report report =
         new Engine.Report() {
           @Override
-          public void began(Engine engine, String request, String path, String resumedAfter) {}
+          public void began(Engine engine, String request, String path, String resumedAfter) {
+            runs.merge(engine.service + " " + request, 1, Integer::sum);
+          }
 
           @Override
           public void ended(Engine engine, String request, boolean complete) {
             lastEnd.set(System.nanoTime());
-            if (complete) {
-              whole.merge(request, 1, Integer::sum);
-            }
           }
         };
-    deployment.configure(
-        new Deployment.Config(3).service("huvo11a").bulk("/pule252/", "huvo11a"));
-    for (int index = 1; index <= 6; index++) {
+    Deployment.Config former = new Deployment.Config(3).service("huvo11a").service("wuno96b");
+    deployment.configure(former.bulk("/pule252/", "wuno96b"));
+    for (int index = 1; index <= 8; index++) {
       deployment.addEngine(
-          new Engine(
-              "i-" + index, "huvo11a", 8, EVENTS, 3_000, n -> WORDS[n % WORDS.length], report));
+          new Engine("i-" + index, "huvo11a", 8, EVENTS, 3_000, n -> "event " + n, report));
     }
+    Engine leaving = new Engine("i-9", "wuno96b", 8, EVENTS, 3_000, n -> "event " + n, report);
+    deployment.addEngine(leaving);
     if (!deployment.startHosts()) {
       return 2;
     }
-    Deployment.Job job = new Deployment.Job("7c41e09b52d6a3f8", "/pule252/", ITEMS);
-    if (!deployment.submit(job)) {
-      return 2;
+    List<Deployment.Job> jobs = new ArrayList<>();
+    for (int index = 0; index < JOBS; index++) {
+      Deployment.Job job =
+          new Deployment.Job(String.format("7c41e09b52d6%04x", index), "/pule252/", ITEMS);
+      jobs.add(job);
+      if (!deployment.submit(job)) {
+        return 2;
+      }
     }
-    Thread.sleep(200);
+    Thread.sleep(1_000);
     if (deployment.trouble) {
-      deployment.note("platform: the store is down, it answers 503");
-      deployment.hosts.hosts.values().forEach(h -> h.platform.setMode(review.Platform.Mode.BUSY));
-      Thread.sleep(OUTAGE_MILLIS);
-      deployment.hosts.hosts.values().forEach(h -> h.platform.setMode(review.Platform.Mode.SERVE));
-      deployment.note(
-          "platform: the store is back; workers have done %d of %d items", whole.size(), ITEMS);
-    }
-    double readUntil = deployment.seconds() + 25;
-    while (deployment.seconds() < readUntil && job.states.size() < ITEMS) {
-      deployment.read(job, 1000);
-      Thread.sleep(300);
+      Deployment.Config newer = new Deployment.Config(7).service("huvo11a").service("wuno96b");
+      deployment.configure(newer.bulk("/pule252/", "huvo11a"));
+      // Well after configApplyMs.
+      Thread.sleep(3_000);
+      deployment.platform.put(
+          "servers",
+          leaving.id,
+          leaving.entry(Deployment.ZONES.get(0)).put("state", "draining").put("seq", 2));
+      deployment.note("worker %s of wuno96b reports draining", leaving.id);
+      // drainMs, and a little longer.
+      Thread.sleep(3_000);
+      deployment.platform.remove("servers", leaving.id, -1);
+      leaving.close();
+      deployment.note("worker %s has left", leaving.id);
     }
-    // The traffic has ended; after finishS every item must be listed.
-    double finish = deployment.seconds() + Deployment.FINISH_MILLIS / 1000.0;
-    while (deployment.seconds() < finish && job.states.size() < ITEMS) {
-      deployment.read(job, 0);
+    double end = deployment.seconds() + 15 + Deployment.FINISH_MILLIS / 1000.0;
+    int listed = 0;
+    while (deployment.seconds() < end && listed < JOBS * ITEMS) {
+      listed = 0;
+      for (Deployment.Job job : jobs) {
+        if (job.states.size() < ITEMS) {
+          deployment.read(job, 0);
+        }
+        listed += job.states.size();
+      }
       Thread.sleep(500);
     }
     int running = deployment.engines.stream().mapToInt(Engine::inProgress).sum();
     double idle = (System.nanoTime() - lastEnd.get()) / 1e9;
-    int refused = deployment.hosts.hosts.values().stream().mapToInt(h -> h.platform.tooLarge()).sum();
+    long newService = runs.keySet().stream().filter(key -> key.startsWith("huvo11a")).count();
     deployment.note(
-        "end: %d of %d items listed %s; workers have done %d different items, run %d now, and the"
-            + " last run ended %.1f s ago; the store refused %d objects as too large",
-        job.states.size(), ITEMS, Deployment.count(job), whole.size(), running, idle, refused);
-    boolean unlisted = job.states.size() < ITEMS;
-    if (unlisted && (running > 0 || idle < 5)) {
-      deployment.note("the workers were not idle for 5 s, so the rule does not bind");
+        "end: %d of %d items are listed; %d items have begun to run at wuno96b and %d at huvo11a,"
+            + " whose 8 workers are up; workers run %d now and ran last %.1f s ago",
+        listed, JOBS * ITEMS, runs.size() - newService, newService, running, idle);
+    if (listed < JOBS * ITEMS && (running > 0 || idle < 5)) {
       return 2;
     }
     return deployment.verdict(
-        unlisted,
+        listed < JOBS * ITEMS,
         "LOST: "
-            + (ITEMS - job.states.size())
+            + (JOBS * ITEMS - listed)
             + " of "
-            + ITEMS
-            + " items of an accepted, open job are listed neither as completed nor as"
-            + " dead_lettered when finishS is over");
+            + JOBS * ITEMS
+            + " items of accepted, open jobs are listed neither as completed nor as dead_lettered"
+            + " when finishS is over");
   }
 }
--- a/review/lib/review/Deployment.java
+++ b/review/lib/review/Deployment.java
@@ -107,6 +107,12 @@
       return this;
     }
 
+    /** Sets the timeout of all routes. */
+    public Config timeout(int millis) {
+      spec.get("routes").forEach(route -> ((ObjectNode) route).put("timeoutMs", millis));
+      return this;
+    }
+
     /** Adds a route of streams, as on the sheet of the site. */
     public Config stream(String prefix, String service) {
       ((ArrayNode) spec.get("routes"))
@@ -355,7 +361,7 @@
     int code;
     try (Deployment deployment = new Deployment(folder)) {
       code = steps.run(deployment);
-    } catch (Exception e) {
+    } catch (Exception | LinkageError e) {
       e.printStackTrace();
       code = 2;
     }
--- a/review/lib/review/Engine.java
+++ b/review/lib/review/Engine.java
@@ -18,6 +18,7 @@
 /** A stand-in of a model worker: answers each request with a stream of events. */
 public final class Engine implements AutoCloseable {
   private static final int QUEUE = 24;
+  private static final int EVENTS_A_STEP = 7;
 
   public final String id;
   public final String service;
@@ -160,8 +161,11 @@
         output.write(
             ("id: " + event + "\ndata: " + data.apply(event) + "\n\n")
                 .getBytes(StandardCharsets.UTF_8));
-        output.flush();
-        TimeUnit.MICROSECONDS.sleep(pauseMicros);
+        // A step of the engine gives several events of a stream.
+        if (event % EVENTS_A_STEP == 0) {
+          output.flush();
+          TimeUnit.MICROSECONDS.sleep(pauseMicros * EVENTS_A_STEP);
+        }
       }
       exchange.close();
       whole = true;
--- a/review/lib/review/Hosts.java
+++ b/review/lib/review/Hosts.java
@@ -47,7 +47,7 @@
 
   public Hosts() throws IOException {
     directory = Files.createTempDirectory("review");
-    Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::closeAtExit));
   }
 
   /** Creates and starts a host of a role. */
@@ -128,6 +128,14 @@
     }
   }
 
+  private void closeAtExit() {
+    try {
+      close();
+    } catch (IOException e) {
+      // The folder is gone already.
+    }
+  }
+
   private void kill() {
     for (Host host : hosts.values()) {
       if (host.process != null) {
