--- a/review/1/Case.java
+++ b/review/1/Case.java
@@ -13,7 +13,7 @@
   private static final int REQUESTS = 6;
 
   public static void main(String[] arguments) {
-    Deployment.main(arguments[0], Case::run);
+    Deployment.main(arguments, Case::run);
   }
 
   private static int run(Deployment deployment) throws Exception {
--- a/review/2/Case.java
+++ b/review/2/Case.java
@@ -16,7 +16,7 @@
   private static final int EVENTS = 203;
 
   public static void main(String[] arguments) {
-    Deployment.main(arguments[0], Case::run);
+    Deployment.main(arguments, Case::run);
   }
 
   private static int run(Deployment deployment) throws Exception {
--- a/review/4/Case.java
+++ b/review/4/Case.java
@@ -20,7 +20,7 @@
   private static final long OUTAGE_MILLIS = 3_000;
 
   public static void main(String[] arguments) {
-    Deployment.main(arguments[0], Case::run);
+    Deployment.main(arguments, Case::run);
   }
 
   private static int run(Deployment deployment) throws Exception {
--- a/review/lib/review/Deployment.java
+++ b/review/Deployment.java
@@ -29,7 +29,9 @@
   /** The results must be there so long after the traffic: the bound finishS. */
   public static final long FINISH_MILLIS = 18_000;
 
-  public final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  /** Whether the disruption takes place. */
+  public final boolean trouble;
+
   public final Platform platform = new Platform(VALUE_BYTES);
   public final Hosts hosts = new Hosts();
   public final List<Engine> engines = new ArrayList<>();
@@ -37,7 +39,8 @@
   private final PrintWriter record;
   private final AtomicInteger nextFront = new AtomicInteger();
 
-  public Deployment(String folder) throws IOException {
+  public Deployment(String folder, boolean trouble) throws IOException {
+    this.trouble = trouble;
     record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
     note("disruption: %s", trouble ? "on" : "off");
     Thread watchdog =
@@ -356,10 +359,15 @@
     int run(Deployment deployment) throws Exception;
   }
 
-  /** Runs a case and exits with its code. */
-  public static void main(String folder, Steps steps) {
+  /**
+   * Runs a case and exits with its code.
+   *
+   * @param arguments the folder of the case, and 0 for no disruption
+   */
+  public static void main(String[] arguments, Steps steps) {
     int code;
-    try (Deployment deployment = new Deployment(folder)) {
+    boolean trouble = !arguments[1].equals("0");
+    try (Deployment deployment = new Deployment(arguments[0], trouble)) {
       code = steps.run(deployment);
     } catch (Exception | LinkageError e) {
       e.printStackTrace();
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,11 +2,12 @@
 # Builds the stand-ins and the scripts of all cases; needs the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-rm -rf review/target
-mkdir -p review/target/lib
-javac -nowarn -d review/target/lib -cp target/trefoilbarrow.jar review/lib/review/*.java
+rm -rf target/review
+mkdir -p target/review/stand-ins
+javac -nowarn -d target/review/stand-ins -cp target/trefoilbarrow.jar review/*.java
 for source in review/[1-5]/Case.java; do
   number=$(basename "$(dirname "$source")")
-  mkdir -p "review/target/$number"
-  javac -nowarn -d "review/target/$number" -cp review/target/lib:target/trefoilbarrow.jar "$source"
+  mkdir -p "target/review/$number"
+  javac -nowarn -d "target/review/$number" \
+    -cp target/review/stand-ins:target/trefoilbarrow.jar "$source"
 done
