--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -32,6 +32,7 @@
 import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.settings.FleetHostSettings;
 import org.trefoilbarrow.state.ObjectKind;
+import org.trefoilbarrow.state.ObjectPage;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.FleetView;
@@ -51,6 +52,7 @@
 import org.trefoilbarrow.transport.link.TermStore;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
 import org.trefoilbarrow.transport.metrics.MetricsEndpoint;
+import org.trefoilbarrow.transport.platform.CollectionRefresher;
 import org.trefoilbarrow.transport.platform.CollectionWatcher;
 import org.trefoilbarrow.transport.platform.PlatformProbe;
 
@@ -131,6 +133,7 @@
   private final RequestJobStore jobStore;
   private final RequestJobTable jobTable;
   private final HostRegistration registration;
+  private final CollectionRefresher configurationRefresher;
   private final ForwardServices services;
   private final long startNanos;
   private Optional<Ingress> ingress = Optional.empty();
@@ -196,6 +199,14 @@
             log);
     this.jobStore = new RequestJobStore(platform);
     this.jobTable = new RequestJobTable(loop, jobStore, executor, !settings.servesCallers());
+    this.configurationRefresher =
+        new CollectionRefresher(
+            platform,
+            ObjectKind.CONFIGURATION,
+            executor,
+            loop,
+            this::onConfigurationConfirmed,
+            nanoClock);
     this.services =
         new ForwardServices(
             loop,
@@ -298,6 +309,7 @@
               executor,
               self,
               this::hasReadAllCollections,
+              configurationRefresher::refresh,
               milliClock);
       created.start();
       runner = Optional.of(created);
@@ -402,7 +414,29 @@
         .start();
   }
 
+  private void onConfigurationConfirmed(ObjectPage page, long sinceNanos) {
+    boolean isReadable = true;
+    for (VersionedObject object : page.objects()) {
+      isReadable &= applyConfiguration(object);
+    }
+    if (isReadable) {
+      fleet.confirmCatalog(sinceNanos);
+      log.add(
+          "config",
+          "confirmed",
+          "version",
+          fleet.catalog().map(Catalog::version).orElse(0L),
+          "revision",
+          page.revision());
+    }
+  }
+
   private void onConfiguration(VersionedObject object) {
+    applyConfiguration(object);
+  }
+
+  /** Returns whether the configuration could be read, whether it is newer or not. */
+  private boolean applyConfiguration(VersionedObject object) {
     Optional<Catalog> catalog;
     try {
       catalog = adapter.decoder().decodeCatalog(object.name(), object.value());
@@ -410,7 +444,7 @@
       logger.atSevere().withCause(e).log(
           "host: configuration revision %s is unreadable and is ignored", object.version());
       log.add("config", "unreadable", "revision", object.version(), "reason", e.getMessage());
-      return;
+      return false;
     }
     if (catalog.isPresent() && fleet.apply(catalog.get(), object.version())) {
       log.add(
@@ -424,6 +458,7 @@
           catalog.get().routes().size());
       placements.onFleetChanged();
     }
+    return true;
   }
 
   private void onDomainDrained(VersionedObject object) {
--- a/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
@@ -30,10 +30,10 @@
  */
 public final class RequestJobProgress {
   /**
-   * The time within which a change of the configuration is known everywhere; until then, the host
-   * that accepted the job may know a route that this one does not.
+   * How long a route is missing before it counts as ended. Operators may take a route back soon,
+   * and an item that was given up stays so.
    */
-  private static final Duration CHANGE_DELAY = Duration.ofSeconds(5);
+  private static final Duration ROUTE_END_DELAY = Duration.ofSeconds(5);
 
   private final RequestJob job;
   private final Map<String, JobItem> items = new LinkedHashMap<>();
@@ -59,20 +59,34 @@
   }
 
   /**
-   * Returns whether the job's route has ended: it has been missing for so long that no
-   * configuration in force has it.
+   * Decides what the job's route allows. A route that is missing here may be in a configuration
+   * that this host has not learnt of, so that it has ended only if the platform confirms it.
    *
    * @param present whether the newest configuration that this host knows has the route
+   * @param confirmedNanos the latest time at which that configuration is known to have been the
+   *     newest one, if any
    */
-  public boolean hasRouteEnded(boolean present, long nowNanos) {
+  public RouteDecision decideOnRoute(boolean present, OptionalLong confirmedNanos, long nowNanos) {
     if (present) {
       routeMissingSinceNanos = OptionalLong.empty();
-      return false;
+      return RouteDecision.RUN;
     }
     if (routeMissingSinceNanos.isEmpty()) {
       routeMissingSinceNanos = OptionalLong.of(nowNanos);
     }
-    return nowNanos - routeMissingSinceNanos.getAsLong() >= CHANGE_DELAY.toNanos();
+    long missingSinceNanos = routeMissingSinceNanos.getAsLong();
+    long endNanos = missingSinceNanos + ROUTE_END_DELAY.toNanos();
+    if (isConfirmed(confirmedNanos, endNanos)) {
+      return RouteDecision.GIVE_UP;
+    }
+    boolean isDue = nowNanos - endNanos >= 0;
+    return isDue || !isConfirmed(confirmedNanos, missingSinceNanos)
+        ? RouteDecision.CONFIRM
+        : RouteDecision.WAIT;
+  }
+
+  private static boolean isConfirmed(OptionalLong confirmedNanos, long sinceNanos) {
+    return confirmedNanos.isPresent() && confirmedNanos.getAsLong() - sinceNanos >= 0;
   }
 
   /** Returns the item with the given identifier. */
--- a/server/src/main/java/org/trefoilbarrow/state/fleet/FleetView.java
+++ b/server/src/main/java/org/trefoilbarrow/state/fleet/FleetView.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.FailureDomainId;
@@ -18,6 +19,7 @@
 public final class FleetView {
   private Optional<Catalog> catalog = Optional.empty();
   private long catalogRevision;
+  private OptionalLong catalogConfirmedNanos = OptionalLong.empty();
   private final Map<BackendServerId, BackendServer> backends = new LinkedHashMap<>();
   private Set<FailureDomainId> drainedDomains = ImmutableSet.of();
   private long changeCount;
@@ -38,6 +40,23 @@
     return true;
   }
 
+  /**
+   * Records that a read of the platform found no newer configuration than the cached one.
+   *
+   * @param sinceNanos when the read began
+   */
+  public void confirmCatalog(long sinceNanos) {
+    catalogConfirmedNanos = OptionalLong.of(sinceNanos);
+  }
+
+  /**
+   * Returns the latest time at which the cached configuration is known to have been the newest;
+   * empty if it only follows what a watch reports.
+   */
+  public OptionalLong catalogConfirmedNanos() {
+    return catalogConfirmedNanos;
+  }
+
   /** Returns a number that grows with each change of backend servers or drained domains. */
   public long changeCount() {
     return changeCount;
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -66,6 +66,7 @@
   private final Executor executor;
   private final PeerAddress self;
   private final BooleanSupplier jobsSynchronized;
+  private final Runnable refreshConfiguration;
   private final LongSupplier milliClock;
   private final Map<JobId, Map<String, ItemRun>> runs = new HashMap<>();
   private final Set<JobId> writing = new HashSet<>();
@@ -80,6 +81,7 @@
    * Creates a runner.
    *
    * @param jobsSynchronized whether all jobs and results of the platform have been read
+   * @param refreshConfiguration reads the configuration from the platform again
    */
   public JobRunner(
       ForwardServices services,
@@ -88,6 +90,7 @@
       Executor executor,
       PeerAddress self,
       BooleanSupplier jobsSynchronized,
+      Runnable refreshConfiguration,
       LongSupplier milliClock) {
     this.services = checkNotNull(services, "services");
     this.table = checkNotNull(table, "table");
@@ -95,6 +98,7 @@
     this.executor = checkNotNull(executor, "executor");
     this.self = checkNotNull(self, "self");
     this.jobsSynchronized = checkNotNull(jobsSynchronized, "jobsSynchronized");
+    this.refreshConfiguration = checkNotNull(refreshConfiguration, "refreshConfiguration");
     this.milliClock = checkNotNull(milliClock, "milliClock");
     this.startNanos = services.nanoClock().getAsLong();
     this.author = self.host() + "/" + self.startedMillis();
@@ -162,11 +166,20 @@
     }
     Optional<Route> route =
         catalog.get().batchRoute(progress.job().hostName(), progress.job().path());
-    boolean routeEnded =
-        progress.hasRouteEnded(route.isPresent(), services.nanoClock().getAsLong());
-    if (route.isEmpty() && !routeEnded) {
-      return;
+    switch (progress.decideOnRoute(
+        route.isPresent(),
+        services.fleet().catalogConfirmedNanos(),
+        services.nanoClock().getAsLong())) {
+      case CONFIRM -> refreshConfiguration.run();
+      case WAIT -> {}
+      case GIVE_UP ->
+          progress.unfinishedItems().forEach(item -> giveUp(progress, item, "no route"));
+      case RUN -> startItems(progress, route.get());
     }
+  }
+
+  private void startItems(RequestJobProgress progress, Route route) {
+    JobId id = progress.job().id();
     for (JobItem item : progress.unfinishedItems()) {
       if (activeItems >= MAX_ACTIVE_ITEMS) {
         return;
@@ -195,21 +208,27 @@
     }
   }
 
-  private void startItem(RequestJobProgress progress, JobItem item, Optional<Route> route) {
-    if (route.isEmpty() || isPastRetention(progress.job(), route.get())) {
-      services
-          .log()
-          .add(
-              "jobs",
-              "given up",
-              "job",
-              progress.job().id(),
-              "item",
-              item.id(),
-              "reason",
-              route.isEmpty() ? "no route" : "retention");
-      progress.recordPermanentFailure(item.id());
-      scheduleWrite(progress);
+  private void giveUp(RequestJobProgress progress, JobItem item, String reason) {
+    services
+        .log()
+        .add(
+            "jobs",
+            "given up",
+            "job",
+            progress.job().id(),
+            "item",
+            item.id(),
+            "reason",
+            reason,
+            "version",
+            services.fleet().catalog().map(Catalog::version).orElse(0L));
+    progress.recordPermanentFailure(item.id());
+    scheduleWrite(progress);
+  }
+
+  private void startItem(RequestJobProgress progress, JobItem item, Route route) {
+    if (isPastRetention(progress.job(), route)) {
+      giveUp(progress, item, "retention");
       return;
     }
     if (services.placements().hasQuarantine()
@@ -221,8 +240,7 @@
       return;
     }
     ItemRun run =
-        new ItemRun(
-            services, progress, item, route.get(), milliClock.getAsLong(), this, itemDurations);
+        new ItemRun(services, progress, item, route, milliClock.getAsLong(), this, itemDurations);
     runs.computeIfAbsent(progress.job().id(), key -> new HashMap<>()).put(item.id(), run);
     activeItems++;
     run.start();
--- a/server/src/test/java/org/trefoilbarrow/coordination/jobs/RequestJobProgressTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/jobs/RequestJobProgressTest.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -45,28 +46,46 @@
     assertFalse(progress.isComplete());
   }
 
-  /** Each line: the time in ms, whether the route is present, whether it has ended. */
+  /**
+   * Each line: the time in ms, whether the route is present, when the configuration was confirmed
+   * last, and the decision.
+   */
   @DataProvider
   public Object[][] routes() {
     return new Object[][] {
-      {List.of("0 true false", "9000 true false")},
-      {List.of("0 false false", "4999 false false", "5000 false true")},
-      {List.of("0 false false", "4000 true false", "5000 false false", "9999 false false")},
-      {List.of("0 true false", "100 false false", "5099 false false", "5100 false true")}
+      {List.of("0 true never RUN", "9000 true never RUN")},
+      {List.of("0 false 0 WAIT", "4999 false 0 WAIT", "5000 false 5000 GIVE_UP")},
+      {List.of("0 false 0 WAIT", "4000 true 0 RUN", "5000 false 4000 CONFIRM")},
+      {List.of("0 true 0 RUN", "100 false 100 WAIT", "5099 false 100 WAIT")},
+      {List.of("0 true 0 RUN", "100 false 100 WAIT", "5100 false 5100 GIVE_UP")},
+      // Missing for long, but only in a configuration that may be old.
+      {List.of("0 false never CONFIRM", "5000 false never CONFIRM", "60000 false never CONFIRM")},
+      {List.of("100 false 50 CONFIRM", "5100 false 50 CONFIRM", "5100 false 5099 CONFIRM")},
+      {List.of("0 false 0 WAIT", "5000 false 0 CONFIRM", "5200 false 5000 GIVE_UP")}
     };
   }
 
+  /** A host gave up items for a route that it missed only because an answer was lost. */
   @Test(dataProvider = "routes")
-  public void routeHasEndedOnlyWhenNoHostCanKnowIt(List<String> lines) {
+  public void routeHasEndedOnlyWhenPlatformConfirmsIt(List<String> lines) {
     RequestJobProgress progress = new RequestJobProgress(job(1));
     for (String line : lines) {
       List<String> parts = Splitter.on(' ').splitToList(line);
-      long nowNanos = Duration.ofMillis(Long.parseLong(parts.get(0))).toNanos();
-      boolean ended = progress.hasRouteEnded(Boolean.parseBoolean(parts.get(1)), nowNanos);
-      assertEquals(String.valueOf(ended), parts.get(2), line);
+      OptionalLong confirmedNanos =
+          parts.get(2).equals("never")
+              ? OptionalLong.empty()
+              : OptionalLong.of(nanos(parts.get(2)));
+      RouteDecision decision =
+          progress.decideOnRoute(
+              Boolean.parseBoolean(parts.get(1)), confirmedNanos, nanos(parts.get(0)));
+      assertEquals(decision, RouteDecision.valueOf(parts.get(3)), line);
     }
   }
 
+  private static long nanos(String millis) {
+    return Duration.ofMillis(Long.parseLong(millis)).toNanos();
+  }
+
   @Test
   public void recordFailedAttempt_failsTheItemAfterItsLastAttempt() {
     RequestJobProgress progress = new RequestJobProgress(job(1));
