--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendLoad.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendLoad.java
@@ -8,11 +8,13 @@
 /** The work placed at one backend server, and the server's recent failures. Not thread-safe. */
 final class BackendLoad {
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final int MAX_DOUBLINGS = 8;
 
   private int running;
   private int failures;
   private long penaltyUntilNanos = Long.MIN_VALUE;
-  private boolean replaced;
+  private int replacementReports;
+  private long replacedUntilNanos = Long.MIN_VALUE;
   private Optional<Long> reportedLeavingNanos = Optional.empty();
   private final Deque<Long> recentPlacements = new ArrayDeque<>();
 
@@ -20,8 +22,9 @@
     return running;
   }
 
-  boolean isReplaced() {
-    return replaced;
+  /** Returns whether the server's address was found to belong to another one a moment ago. */
+  boolean isReplaced(long nowNanos) {
+    return replacementReports > 0 && nowNanos - replacedUntilNanos < 0;
   }
 
   /**
@@ -57,16 +60,28 @@
 
   void succeeded() {
     failures = 0;
+    replacementReports = 0;
   }
 
   void failed(long nowNanos, DispatchRules rules) {
-    failures = Math.min(failures + 1, 8);
-    long penalty = rules.penalty().toNanos() << (failures - 1);
-    penaltyUntilNanos = nowNanos + Math.min(rules.maxPenalty().toNanos(), penalty);
+    failures = Math.min(failures + 1, MAX_DOUBLINGS);
+    penaltyUntilNanos = nowNanos + backoffNanos(failures, rules.penalty(), rules.maxPenalty());
   }
 
-  void replaced() {
-    replaced = true;
+  /** Records a rejection; those of requests that were placed before the last one say no more. */
+  void replaced(long nowNanos, DispatchRules rules) {
+    if (isReplaced(nowNanos)) {
+      return;
+    }
+    replacementReports = Math.min(replacementReports + 1, MAX_DOUBLINGS);
+    replacedUntilNanos =
+        nowNanos
+            + backoffNanos(
+                replacementReports, rules.replacementPause(), rules.maxReplacementPause());
+  }
+
+  private static long backoffNanos(int count, Duration first, Duration longest) {
+    return Math.min(longest.toNanos(), first.toNanos() << (count - 1));
   }
 
   void reportedLeaving(long nowNanos) {
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -57,15 +57,15 @@
   }
 
   /** Returns whether a service has backend servers that work can be placed at, now or later. */
-  boolean hasServers(String service) {
-    return usable(service).stream().anyMatch(this::isCurrent);
+  boolean hasServers(String service, long nowNanos) {
+    return usable(service).stream().anyMatch(backend -> isCurrent(backend, nowNanos));
   }
 
   /** Returns the number of slots of a service that may be assigned, in use or not. */
-  int total(String service) {
+  int total(String service, long nowNanos) {
     int total = 0;
     for (BackendServer backend : usable(service)) {
-      if (isCurrent(backend)) {
+      if (isCurrent(backend, nowNanos)) {
         total = IntMath.saturatedAdd(total, share.slotsOf(backend));
       }
     }
@@ -73,10 +73,10 @@
   }
 
   /** Returns the number of free slots of a service. */
-  int free(String service) {
+  int free(String service, long nowNanos) {
     int free = 0;
     for (BackendServer backend : usable(service)) {
-      if (isCurrent(backend)) {
+      if (isCurrent(backend, nowNanos)) {
         free =
             IntMath.saturatedAdd(
                 free, Math.max(0, share.slotsOf(backend) - load(backend.id()).running()));
@@ -94,7 +94,7 @@
     BackendServer best = null;
     double bestScore = Double.MAX_VALUE;
     for (BackendServer backend : usable(demand.service())) {
-      if (!isCurrent(backend) || demand.excluded().contains(backend.id())) {
+      if (!isCurrent(backend, nowNanos) || demand.excluded().contains(backend.id())) {
         continue;
       }
       BackendLoad load = load(backend.id());
@@ -131,8 +131,8 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  private boolean isCurrent(BackendServer backend) {
-    return !load(backend.id()).isReplaced();
+  private boolean isCurrent(BackendServer backend, long nowNanos) {
+    return !load(backend.id()).isReplaced(nowNanos);
   }
 
   private boolean isAtColdRateLimit(
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
@@ -19,6 +19,10 @@
  * @param penalty the time for which a backend server that failed gets only work that no other
  *     server has a slot for; doubled by each further failure
  * @param maxPenalty the longest penalty
+ * @param replacementPause how long a server gets no work after a request was rejected as meant for
+ *     another one at its address; doubled by each further such rejection. It has an end since the
+ *     entry at the platform, which is still there, is the better witness
+ * @param maxReplacementPause the longest such pause
  * @param leavingReportValidity how long a server gets no work after a host reported that it is
  *     leaving; short, since the report of a host with an outdated view is wrong
  * @param lostHostRetention how long the slots of an unresponsive host count as in use
@@ -32,6 +36,8 @@
     double coldRateFraction,
     Duration penalty,
     Duration maxPenalty,
+    Duration replacementPause,
+    Duration maxReplacementPause,
     Duration leavingReportValidity,
     Duration lostHostRetention) {
   /** The default rules. */
@@ -46,5 +52,7 @@
           Duration.ofMillis(500),
           Duration.ofSeconds(4),
           Duration.ofSeconds(1),
+          Duration.ofSeconds(8),
+          Duration.ofSeconds(1),
           Duration.ofSeconds(2));
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -191,7 +191,7 @@
   }
 
   /** Returns the number of demands and slots of each service, for logs. */
-  public String describe() {
+  public String describe(long nowNanos) {
     StringBuilder text = new StringBuilder();
     services.forEach(
         (service, work) ->
@@ -202,8 +202,8 @@
                     work.waiting().online().size(),
                     work.waiting().late().size(),
                     work.waiting().itemCount(),
-                    slots.total(service),
-                    slots.free(service))));
+                    slots.total(service, nowNanos),
+                    slots.free(service, nowNanos))));
     return text.toString().trim();
   }
 
@@ -255,9 +255,9 @@
         }
       }
       case FAILED, STALLED, NOT_RUN -> load.failed(nowNanos, rules);
-      case REPLACED -> load.replaced();
+      case REPLACED -> load.replaced(nowNanos, rules);
       case LEAVING -> load.reportedLeaving(nowNanos);
-      case CANCELLED -> {}
+      case CANCELLED, CONDITION_FAILED -> {}
     }
   }
 
@@ -268,16 +268,17 @@
   }
 
   private Optional<Decision> refusal(Demand demand, long nowNanos) {
-    if (!slots.hasServers(demand.service())) {
+    if (!slots.hasServers(demand.service(), nowNanos)) {
       return Optional.of(
           refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
     }
-    int total = slots.total(demand.service());
+    int total = slots.total(demand.service(), nowNanos);
     if (!demand.repeated() && total > 0) {
       ServiceWork work = work(demand.service());
       int beingFreed =
           work.running().interruptibleCount(urgentSlots(total)) + work.running().revokedCount();
-      long excess = work.waiting().online().size() + 1L - slots.free(demand.service()) - beingFreed;
+      long excess =
+          work.waiting().online().size() + 1L - slots.free(demand.service(), nowNanos) - beingFreed;
       double waitNanos = Math.max(0, excess) * work.waiting().serviceNanos() / total;
       if (nowNanos + waitNanos > demand.objectiveNanos()) {
         return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
@@ -314,7 +315,7 @@
     WaitingQueue queue = work.waiting();
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
     moveLate(queue, decisions, nowNanos);
-    int total = slots.total(service);
+    int total = slots.total(service, nowNanos);
     int urgentLimit =
         queue.online().isEmpty()
             ? Integer.MAX_VALUE
@@ -392,7 +393,8 @@
       int reserve,
       ImmutableList.Builder<Decision> decisions,
       long nowNanos) {
-    int placeable = demands.isEmpty() ? 0 : Math.min(limit, slots.free(service) - reserve);
+    int placeable =
+        demands.isEmpty() ? 0 : Math.min(limit, slots.free(service, nowNanos) - reserve);
     Iterator<Demand> remaining = demands.iterator();
     while (placeable > 0 && remaining.hasNext()) {
       Demand demand = remaining.next();
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/PlacementResult.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/PlacementResult.java
@@ -15,5 +15,7 @@
   /** The caller disconnected, or the work was interrupted. */
   CANCELLED,
   /** The work was not sent, since its host knows that the backend server is leaving or drained. */
-  LEAVING
+  LEAVING,
+  /** The backend server did not run the work, since it does not meet a condition of its caller. */
+  CONDITION_FAILED
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -19,15 +19,15 @@
 
   private final BackendServer backend;
   private final String requestId;
+  private final boolean conditional;
   private final Predicate<HttpResponse> isStream;
   private final Listener listener;
   private final EventStream events = new EventStream();
   private final ByteBuf body = Unpooled.buffer(0);
   private BackendConnections.Cancellation cancellation = () -> {};
   private Optional<HttpResponse> response = Optional.empty();
-  private boolean notRun;
+  private Optional<PlacementResult> notRunResult = Optional.empty();
   private boolean impliesNotRun;
-  private boolean replaced;
   private boolean streaming;
   private boolean responseBegan;
   private boolean ended;
@@ -59,15 +59,18 @@
   /**
    * Creates an attempt that is not sent yet.
    *
+   * @param conditional whether the request states which backend servers may run it
    * @param isStream whether a response to a request that ran is part of an event stream
    */
   BackendAttempt(
       BackendServer backend,
       String requestId,
+      boolean conditional,
       Predicate<HttpResponse> isStream,
       Listener listener) {
     this.backend = checkNotNull(backend, "backend");
     this.requestId = checkNotNull(requestId, "requestId");
+    this.conditional = conditional;
     this.isStream = checkNotNull(isStream, "isStream");
     this.listener = checkNotNull(listener, "listener");
   }
@@ -102,10 +105,9 @@
   @Override
   public void onHeaders(HttpResponse received, ResponseAttributes responseAttributes) {
     response = Optional.of(received);
-    notRun = responseAttributes.notRun();
+    notRunResult = responseAttributes.notRunResult(conditional);
     impliesNotRun = responseAttributes.impliesNotRun();
-    replaced = responseAttributes.replaced();
-    streaming = !notRun && isStream.test(received);
+    streaming = notRunResult.isEmpty() && isStream.test(received);
     listener.onProgress(this, streaming);
   }
 
@@ -144,8 +146,8 @@
       return;
     }
     ended = true;
-    if (replaced || notRun) {
-      reportNotRun();
+    if (notRunResult.isPresent()) {
+      listener.onNotRun(this, notRunResult.get());
     } else if (impliesNotRun) {
       // A server that does not state that it did not run the request makes no such promise.
       listener.onLost(this);
@@ -192,8 +194,8 @@
       return;
     }
     ended = true;
-    if (replaced || notRun) {
-      reportNotRun();
+    if (notRunResult.isPresent()) {
+      listener.onNotRun(this, notRunResult.get());
     } else if (sent) {
       reportUnlessBegan();
       listener.onLost(this);
@@ -201,8 +203,4 @@
       listener.onNotRun(this, PlacementResult.FAILED);
     }
   }
-
-  private void reportNotRun() {
-    listener.onNotRun(this, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
-  }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -253,7 +253,9 @@
             request.content().retainedDuplicate(),
             headers,
             EmptyHttpHeaders.INSTANCE);
-    BackendAttempt next = new BackendAttempt(backend, attributes.requestId(), this::isStream, this);
+    BackendAttempt next =
+        new BackendAttempt(
+            backend, attributes.requestId(), attributes.conditional(), this::isStream, this);
     attempt = Optional.of(next);
     next.send(services.connections(), sent);
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/HttpDialect.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/HttpDialect.java
@@ -51,6 +51,9 @@
   /** Returns the parts of an item's prompt that other work may share, in their order. */
   ImmutableList<PromptPartId> promptParts(JobItem item);
 
+  /** Returns whether an item states which of the backend servers may run it. */
+  boolean isConditional(JobItem item);
+
   /** Sets the header that states after which time a refused caller may retry. */
   void setRetryAfter(HttpHeaders headers, long millis);
 
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/RequestAttributes.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/RequestAttributes.java
@@ -16,13 +16,15 @@
  * @param resumeAfter the identifier of the last event that the caller has received, if it resumes a
  *     stream
  * @param promptParts the parts of the prompt that other requests may share, in their order
+ * @param conditional whether the caller states which of the backend servers may run the request
  */
 public record RequestAttributes(
     String requestId,
     Optional<String> key,
     OptionalLong deadlineMillis,
     Optional<String> resumeAfter,
-    ImmutableList<PromptPartId> promptParts) {
+    ImmutableList<PromptPartId> promptParts,
+    boolean conditional) {
   /** Checks the components. */
   public RequestAttributes {
     checkNotNull(requestId, "requestId");
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ResponseAttributes.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ResponseAttributes.java
@@ -1,6 +1,7 @@
 package org.trefoilbarrow.transport.forward;
 
 import java.util.Optional;
+import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 
 /**
  * The attributes that a backend server states in the headers of a response.
@@ -11,7 +12,7 @@
  * @param notRun whether the backend server states that it did not run the request
  * @param impliesNotRun whether callers take the status for the statement that the request did not
  *     run and never will
- * @param replaced whether the address now belongs to another backend server
+ * @param misdirected whether the backend server states that the request is meant for another one
  * @param idleMillis how long the server keeps an idle connection open; 0 if unknown
  */
 public record ResponseAttributes(
@@ -19,5 +20,19 @@
     boolean signed,
     boolean notRun,
     boolean impliesNotRun,
-    boolean replaced,
-    long idleMillis) {}
+    boolean misdirected,
+    long idleMillis) {
+
+  /**
+   * Returns how the placement ended if the backend server certainly did not run the request.
+   *
+   * @param conditional whether the request states itself which servers may run it, so that its
+   *     rejection does not show that the address belongs to another server
+   */
+  public Optional<PlacementResult> notRunResult(boolean conditional) {
+    if (misdirected) {
+      return Optional.of(conditional ? PlacementResult.CONDITION_FAILED : PlacementResult.REPLACED);
+    }
+    return notRun ? Optional.of(PlacementResult.NOT_RUN) : Optional.empty();
+  }
+}
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -263,8 +263,7 @@
     private BackendConnections.Cancellation cancellation = () -> {};
     private int status;
     private Optional<String> type = Optional.empty();
-    private boolean notRun;
-    private boolean replaced;
+    private Optional<PlacementResult> notRunResult = Optional.empty();
     private boolean responseBegan;
     private boolean framed;
     private boolean ended;
@@ -293,8 +292,7 @@
       status = response.status().code();
       type = EventStream.typeOf(response);
       framed = BackendConnections.isFramed(response);
-      notRun = attributes.notRun();
-      replaced = attributes.replaced();
+      notRunResult = attributes.notRunResult(services.dialect().isConditional(item));
     }
 
     @Override
@@ -345,8 +343,9 @@
       if (!framed) {
         checkServerUnlessBegan();
       }
-      if (notRun || replaced) {
-        retryElsewhere(backend, replaced ? PlacementResult.REPLACED : PlacementResult.NOT_RUN);
+      if (notRunResult.isPresent()) {
+        log("unrun");
+        retryElsewhere(backend, notRunResult.get());
       } else if (isWholeOutput()) {
         log("done");
         releaseSlot(PlacementResult.ANSWERED);
@@ -388,7 +387,7 @@
     }
 
     private void checkServerUnlessBegan() {
-      if (!replaced && !notRun && !responseBegan) {
+      if (notRunResult.isEmpty() && !responseBegan) {
         services.serverEnds().broken(backend, promptParts);
       }
     }
@@ -401,7 +400,7 @@
         if (sent) {
           checkServerUnlessBegan();
         }
-        retryElsewhere(backend, replaced ? PlacementResult.REPLACED : PlacementResult.FAILED);
+        retryElsewhere(backend, notRunResult.orElse(PlacementResult.FAILED));
       }
     }
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -217,7 +217,7 @@
           "hosts",
           server.clientCount(),
           "detail",
-          dispatcher.describe());
+          dispatcher.describe(nanoClock.getAsLong()));
     }
   }
 
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -326,6 +326,46 @@
     assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Refused.class), 1);
   }
 
+  /** A server was left out for good after rejections that its entry at the platform contradicts. */
+  @Test
+  public void submit_placesWorkAgainAtAServerThatWasReportedAsReplaced() {
+    backend("a", 4, true, 0);
+    long[] pauses = {1, 2, 4, 8, 8};
+    long now = 0;
+    for (long pause : pauses) {
+      Demand first = online(now, 300, false);
+      Demand second = online(now, 300, false);
+      dispatcher.submit(first, now);
+      dispatcher.submit(second, now);
+      dispatcher.finished(first.id(), PlacementResult.REPLACED, false, now);
+      dispatcher.finished(second.id(), PlacementResult.REPLACED, false, now);
+      long beforeEnd = now + pause * SECOND - MILLI;
+      assertEquals(
+          count(
+              dispatcher.submit(online(beforeEnd, 300, false), beforeEnd), Decision.Refused.class),
+          1);
+      now += pause * SECOND;
+    }
+    Demand answered = online(now, 300, false);
+    assertEquals(count(dispatcher.submit(answered, now), Decision.Placed.class), 1);
+    dispatcher.finished(answered.id(), PlacementResult.ANSWERED, true, now);
+    Demand rejected = online(now, 300, false);
+    dispatcher.submit(rejected, now);
+    dispatcher.finished(rejected.id(), PlacementResult.REPLACED, false, now);
+    now += SECOND;
+    assertEquals(count(dispatcher.submit(online(now, 300, false), now), Decision.Placed.class), 1);
+  }
+
+  /** Requests of one caller that no server could meet kept the work of all others away. */
+  @Test
+  public void submit_placesWorkAtAServerThatDidNotMeetTheConditionOfAnotherRequest() {
+    backend("a", 4, true, 0);
+    Demand conditional = online(0, 300, false);
+    dispatcher.submit(conditional, 0);
+    dispatcher.finished(conditional.id(), PlacementResult.CONDITION_FAILED, false, 0);
+    assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Placed.class), 1);
+  }
+
   /** A dispatching host that the platform refuses learns only from others that a server leaves. */
   @Test
   public void submit_avoidsServerForAWhileAfterAHostReportedThatItLeaves() {
