--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -68,7 +68,6 @@
   private final RequestJobProgress progress;
   private final JobItem item;
   private final ImmutableList<PromptPartId> promptParts;
-  private final Route route;
   private final JobRunner runner;
   private final ItemDurationEstimator durations;
   private final long dueNanos;
@@ -78,6 +77,9 @@
   private Optional<String> lastEventId = Optional.empty();
   private Optional<String> streamType = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
+  private Route route;
+  private boolean suspended;
+  private String demandedService = "";
   private long demandNumber = -1;
   private long totalRunNanos;
   private boolean hasData;
@@ -118,6 +120,35 @@
     return attempt.isPresent();
   }
 
+  /**
+   * Applies the configuration that is in force now. A run at a backend server goes on; what waits
+   * follows the route to its service, and waits without a demand while there is no route.
+   *
+   * @param current the route; empty if the configuration has none
+   */
+  void follow(Optional<Route> current) {
+    if (done || isRunning()) {
+      current.ifPresent(found -> route = found);
+      return;
+    }
+    if (current.isEmpty()) {
+      suspended = true;
+      releaseSlot(PlacementResult.CANCELLED);
+      return;
+    }
+    route = current.get();
+    boolean moves = demandNumber >= 0 && !selectService().equals(demandedService);
+    if (moves) {
+      log("moved");
+      releaseSlot(PlacementResult.CANCELLED);
+      excluded.clear();
+    }
+    if (moves || suspended) {
+      suspended = false;
+      requestSlot();
+    }
+  }
+
   /** Resumes the item at another backend server if its current run has stalled. */
   void checkProgress(long nowNanos) {
     Optional<Attempt> current = attempt;
@@ -132,13 +163,21 @@
     return services.nanoClock().getAsLong();
   }
 
+  private String selectService() {
+    return route.selectService(item.id().hashCode());
+  }
+
   private void requestSlot() {
+    if (suspended) {
+      return;
+    }
+    demandedService = selectService();
     demandNumber =
         services
             .placements()
             .submit(
                 new DemandSpec(
-                    route.selectService(item.id().hashCode()),
+                    demandedService,
                     Optional.empty(),
                     RANKS_PER_PRIORITY * route.priority(),
                     true,
@@ -172,6 +211,12 @@
       releaseSlot(PlacementResult.CANCELLED);
       return;
     }
+    if (!backend.service().equals(selectService())) {
+      // The route has moved to another service since the demand was submitted.
+      releaseSlot(PlacementResult.CANCELLED);
+      requestSlot();
+      return;
+    }
     HttpHeaders headers =
         HopByHopHeaders.removeFrom(
             services
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -170,21 +170,46 @@
         route.isPresent(),
         services.fleet().catalogConfirmedNanos(),
         services.nanoClock().getAsLong())) {
-      case CONFIRM -> refreshConfiguration.run();
-      case WAIT -> {}
-      case GIVE_UP ->
-          progress.unfinishedItems().forEach(item -> giveUp(progress, item, "no route"));
-      case RUN -> startItems(progress, route.get());
+      case CONFIRM -> {
+        suspendItems(progress);
+        refreshConfiguration.run();
+      }
+      case WAIT -> suspendItems(progress);
+      case GIVE_UP -> {
+        cancelWaitingItems(progress);
+        for (JobItem item : progress.unfinishedItems()) {
+          if (run(id, item).isEmpty()) {
+            giveUp(progress, item, "no route");
+          }
+        }
+      }
+      case RUN -> runItems(progress, route.get());
     }
   }
 
-  private void startItems(RequestJobProgress progress, Route route) {
+  /** Returns the run of an item, if it waits or runs. */
+  private Optional<ItemRun> run(JobId job, JobItem item) {
+    return Optional.ofNullable(runs.getOrDefault(job, Map.of()).get(item.id()));
+  }
+
+  /** Lets items that do not run yet wait without a demand. */
+  private void suspendItems(RequestJobProgress progress) {
+    runs.getOrDefault(progress.job().id(), Map.of())
+        .values()
+        .forEach(run -> run.follow(Optional.empty()));
+  }
+
+  private void runItems(RequestJobProgress progress, Route route) {
     JobId id = progress.job().id();
+    boolean isPastRetention = isPastRetention(progress.job(), route);
     for (JobItem item : progress.unfinishedItems()) {
-      if (activeItems >= MAX_ACTIVE_ITEMS) {
-        return;
-      }
-      if (!runs.getOrDefault(id, Map.of()).containsKey(item.id())) {
+      Optional<ItemRun> run = run(id, item);
+      if (run.isPresent() && (run.get().isRunning() || !isPastRetention)) {
+        run.get().follow(Optional.of(route));
+      } else if (isPastRetention) {
+        endRun(progress, item.id());
+        giveUp(progress, item, "retention");
+      } else if (activeItems < MAX_ACTIVE_ITEMS) {
         startItem(progress, item, route);
       }
     }
@@ -227,10 +252,6 @@
   }
 
   private void startItem(RequestJobProgress progress, JobItem item, Route route) {
-    if (isPastRetention(progress.job(), route)) {
-      giveUp(progress, item, "retention");
-      return;
-    }
     if (services.placements().hasQuarantine()
         && services
             .placements()
