--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -197,7 +197,7 @@
             executor,
             () -> leaving,
             log);
-    this.jobStore = new RequestJobStore(platform);
+    this.jobStore = new RequestJobStore(platform, settings.maxObjectBytes());
     this.jobTable = new RequestJobTable(loop, jobStore, executor, !settings.servesCallers());
     this.configurationRefresher =
         new CollectionRefresher(
--- a/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
@@ -14,6 +14,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.ToLongFunction;
+import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.protocol.RequestJob;
 import org.trefoilbarrow.protocol.RequestJob.JobItem;
 import org.trefoilbarrow.protocol.RequestJob.Result;
@@ -35,14 +37,19 @@
    */
   private static final Duration ROUTE_END_DELAY = Duration.ofSeconds(5);
 
+  /** The most bytes of the names and the state of a result in an answer. */
+  private static final long ANSWER_OVERHEAD_BYTES = 64;
+
   private final RequestJob job;
   private final Map<String, JobItem> items = new LinkedHashMap<>();
   private final List<Result> visible = new ArrayList<>();
+  private final List<Long> visibleBytes = new ArrayList<>();
   private final Set<String> visibleItems = new HashSet<>();
   private final Map<String, Result> outcomes = new LinkedHashMap<>();
   private final Map<String, Integer> failedAttempts = new HashMap<>();
   private OptionalLong routeMissingSinceNanos = OptionalLong.empty();
   private int nextPartNumber;
+  private long acceptedPartBytes = Long.MAX_VALUE;
   private boolean cancelled;
 
   /** Creates the progress of a job without results. */
@@ -95,20 +102,19 @@
   }
 
   /**
-   * Returns the visible results from a position on, up to a total size of the outputs; a first
-   * result is returned even if it alone is larger. Empty if there are none.
+   * Returns the visible results from a position on, up to a total size as JSON; a first result is
+   * returned even if it alone is larger. Empty if there are none.
    */
-  public ImmutableList<Result> resultsFrom(int position, int maxCharacters) {
+  public ImmutableList<Result> resultsFrom(int position, long maxBytes) {
     checkArgument(position >= 0, "position is negative: %s", position);
     ImmutableList.Builder<Result> results = ImmutableList.builder();
-    long characters = 0;
+    long bytes = 0;
     for (int index = position; index < visible.size(); index++) {
-      Result result = visible.get(index);
-      characters += result.output().length();
-      if (index > position && characters > maxCharacters) {
+      bytes += visibleBytes.get(index);
+      if (index > position && bytes > maxBytes) {
         break;
       }
-      results.add(result);
+      results.add(visible.get(index));
     }
     return results.build();
   }
@@ -132,12 +138,19 @@
     for (Result result : part.results()) {
       if (visibleItems.add(result.item())) {
         visible.add(result);
+        visibleBytes.add(answerBytes(result));
       }
       outcomes.remove(result.item());
     }
     return true;
   }
 
+  private static long answerBytes(Result result) {
+    return ANSWER_OVERHEAD_BYTES
+        + JsonCodec.encodedBytes(result.item())
+        + JsonCodec.encodedBytes(result.output());
+  }
+
   /** Records that the caller ended the job; no more items are run. */
   public void cancel() {
     cancelled = true;
@@ -193,20 +206,46 @@
     return true;
   }
 
-  /** Returns the outcomes to make visible next, if there are any. */
-  public Optional<ResultPart> nextResultPart(String author, int maxCharacters) {
+  /** Returns whether there are outcomes to make visible. */
+  public boolean hasResultsToWrite() {
+    return !outcomes.isEmpty() && !cancelled;
+  }
+
+  /**
+   * Returns the outcomes to make visible next, if there are any: as many as fit, and at least one.
+   *
+   * @param maxBytes the most bytes of all results of a part
+   * @param resultBytes the bytes that one result takes
+   */
+  public Optional<ResultPart> nextResultPart(
+      String author, long maxBytes, ToLongFunction<Result> resultBytes) {
+    if (!hasResultsToWrite()) {
+      return Optional.empty();
+    }
     List<Result> next = new ArrayList<>();
-    long characters = 0;
+    long bytes = 0;
     for (Result result : outcomes.values()) {
-      characters += result.output().length();
-      if (!next.isEmpty() && characters > maxCharacters) {
+      bytes += resultBytes.applyAsLong(result);
+      if (!next.isEmpty() && bytes > Math.min(maxBytes, acceptedPartBytes)) {
         break;
       }
       next.add(result);
     }
-    return next.isEmpty() || cancelled
-        ? Optional.empty()
-        : Optional.of(new ResultPart(author, next));
+    return Optional.of(new ResultPart(author, next));
+  }
+
+  /**
+   * Records that the platform refused a part as too large: the next ones are at most half of it. A
+   * result that is too large by itself is put behind the others, so that it does not hold them up.
+   */
+  public void partRefused(ResultPart part, ToLongFunction<Result> resultBytes) {
+    acceptedPartBytes = part.results().stream().mapToLong(resultBytes).sum() / 2;
+    if (part.results().size() == 1) {
+      Result result = part.results().get(0);
+      if (outcomes.remove(result.item(), result)) {
+        outcomes.put(result.item(), result);
+      }
+    }
   }
 
   private void recordOutcome(Result result) {
--- a/server/src/main/java/org/trefoilbarrow/protocol/JsonCodec.java
+++ b/server/src/main/java/org/trefoilbarrow/protocol/JsonCodec.java
@@ -32,6 +32,30 @@
     }
   }
 
+  /** Returns how many bytes a text takes as a JSON string in UTF-8, with its quotation marks. */
+  public static long encodedBytes(String text) {
+    long bytes = 2;
+    for (int index = 0; index < text.length(); index++) {
+      bytes += encodedBytes(text.charAt(index));
+    }
+    return bytes;
+  }
+
+  private static int encodedBytes(char character) {
+    if (character < ' ') {
+      boolean hasShortEscape = "\b\t\n\f\r".indexOf(character) >= 0;
+      return hasShortEscape ? 2 : 6;
+    }
+    if (character == '"' || character == '\\') {
+      return 2;
+    }
+    if (character < 0x80) {
+      return 1;
+    }
+    // The two characters of a surrogate pair are one of four bytes.
+    return character < 0x800 || Character.isSurrogate(character) ? 2 : 3;
+  }
+
   /**
    * Returns the value that the JSON encodes.
    *
--- a/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettings.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettings.java
@@ -17,6 +17,8 @@
  * @param metricsPort the TCP port for metrics, or 0 for none
  * @param platform the platform's address, as {@code IP:port}
  * @param platformCallsPerSecond the maximum rate of calls to the platform, in calls per second
+ * @param maxObjectBytes the most bytes of one object at the platform; {@link
+ *     #DEFAULT_MAX_OBJECT_BYTES} if absent
  * @param shutdownSeconds how long the host may take to stop, in seconds
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
@@ -31,4 +33,13 @@
     int metricsPort,
     String platform,
     double platformCallsPerSecond,
-    double shutdownSeconds) {}
+    int maxObjectBytes,
+    double shutdownSeconds) {
+  /** The most bytes of one object at a platform whose limit is not set. */
+  public static final int DEFAULT_MAX_OBJECT_BYTES = 1 << 20;
+
+  /** Sets the defaults of absent settings. */
+  public FleetHostSettings {
+    maxObjectBytes = maxObjectBytes == 0 ? DEFAULT_MAX_OBJECT_BYTES : maxObjectBytes;
+  }
+}
--- a/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
@@ -15,6 +15,9 @@
 public final class FleetHostSettingsLoader {
   private static final int MAX_PORT = 65_535;
 
+  /** The smallest limit that leaves room for the records of hosts, and for results. */
+  private static final int MIN_OBJECT_BYTES = 16_384;
+
   private FleetHostSettingsLoader() {}
 
   /**
@@ -64,6 +67,15 @@
     checkPort(errors, source, "/metricsPort", settings.metricsPort(), 0);
     checkPositive(errors, source, "/platformCallsPerSecond", settings.platformCallsPerSecond());
     checkPositive(errors, source, "/shutdownSeconds", settings.shutdownSeconds());
+    if (settings.maxObjectBytes() < MIN_OBJECT_BYTES) {
+      errors.add(
+          new SettingsError(
+              source,
+              0,
+              "/maxObjectBytes",
+              String.format(
+                  "must be at least %d: %d", MIN_OBJECT_BYTES, settings.maxObjectBytes())));
+    }
     return errors.build();
   }
 
--- a/server/src/main/java/org/trefoilbarrow/state/ConfirmedWrites.java
+++ b/server/src/main/java/org/trefoilbarrow/state/ConfirmedWrites.java
@@ -69,6 +69,9 @@
         logger.atFine().log(
             "platform: attempt %s of %s to write %s %s failed: %s",
             attempt + 1, attempts, kind.collection(), name, e.getMessage());
+        if (e.isTooLarge() && !mayHaveApplied) {
+          return WriteOutcome.of(WriteOutcome.Result.TOO_LARGE);
+        }
         mayHaveApplied |= !e.isNotApplied();
       }
     }
--- a/server/src/main/java/org/trefoilbarrow/state/WriteOutcome.java
+++ b/server/src/main/java/org/trefoilbarrow/state/WriteOutcome.java
@@ -20,7 +20,9 @@
      */
     UNKNOWN,
     /** Every attempt failed before it could have an effect. */
-    NOT_SENT
+    NOT_SENT,
+    /** The platform refused the object as too large, as it will refuse each repetition. */
+    TOO_LARGE
   }
 
   /** Returns the outcome of a write that took effect. */
--- a/server/src/main/java/org/trefoilbarrow/transport/backend/RecordedCalls.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/backend/RecordedCalls.java
@@ -86,7 +86,7 @@
     return switch (written.result()) {
       case APPLIED -> run(call, name, intent, written.version(), onSending);
       case CONFLICT -> recordedOutcome(name, digest);
-      case UNKNOWN, NOT_SENT ->
+      case UNKNOWN, NOT_SENT, TOO_LARGE ->
           // The platform may hold the intent, but this host does not send the call.
           throw new ServiceException(
               ErrorKind.PLATFORM_UNAVAILABLE, "the call could not be recorded and was not made");
--- a/server/src/main/java/org/trefoilbarrow/transport/batch/JobStore.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/batch/JobStore.java
@@ -99,7 +99,7 @@
         yield manifest;
       }
       case CONFLICT -> existingJob(manifest);
-      case NOT_SENT ->
+      case NOT_SENT, TOO_LARGE ->
           throw new ServiceException(
               ErrorKind.PLATFORM_UNAVAILABLE, "the platform does not answer; no job was accepted");
       case UNKNOWN ->
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/CallerJobGateway.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/CallerJobGateway.java
@@ -156,7 +156,7 @@
   private static Outcome toOutcome(WriteOutcome outcome) {
     return switch (outcome.result()) {
       case APPLIED -> Outcome.DONE;
-      case NOT_SENT -> Outcome.REFUSED;
+      case NOT_SENT, TOO_LARGE -> Outcome.REFUSED;
       case CONFLICT, UNKNOWN -> Outcome.UNKNOWN;
     };
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -298,8 +298,7 @@
 
   private void scheduleWrite(RequestJobProgress progress) {
     JobId id = progress.job().id();
-    if (progress.nextResultPart(author, RequestJobStore.MAX_OBJECT_CHARACTERS).isEmpty()
-        || !writing.add(id)) {
+    if (!progress.hasResultsToWrite() || !writing.add(id)) {
       return;
     }
     long wait = progress.unfinishedItems().isEmpty() ? 0 : WRITE_DELAY.toMillis();
@@ -309,7 +308,7 @@
   private void write(RequestJobProgress progress) {
     JobId id = progress.job().id();
     Optional<ResultPart> part =
-        progress.nextResultPart(author, RequestJobStore.MAX_OBJECT_CHARACTERS);
+        progress.nextResultPart(author, store.maxResultBytes(), RequestJobStore::resultBytes);
     if (part.isEmpty()) {
       writing.remove(id);
       return;
@@ -320,6 +319,10 @@
           Optional<ResultPart> stored = Optional.empty();
           try {
             WriteOutcome outcome = store.createPart(id, number, part.get(), WRITE_ATTEMPTS);
+            if (outcome.result() == WriteOutcome.Result.TOO_LARGE) {
+              loop().execute(() -> onTooLarge(progress, number, part.get()));
+              return;
+            }
             stored = outcome.isApplied() ? part : store.readPart(id, number);
           } catch (PlatformException e) {
             logger.atFine().log(
@@ -335,6 +338,24 @@
         });
   }
 
+  private void onTooLarge(RequestJobProgress progress, int number, ResultPart part) {
+    services
+        .log()
+        .add(
+            "jobs",
+            "part too large",
+            "job",
+            progress.job().id(),
+            "part",
+            number,
+            "count",
+            part.results().size(),
+            "bytes",
+            part.results().stream().mapToLong(RequestJobStore::resultBytes).sum());
+    progress.partRefused(part, RequestJobStore::resultBytes);
+    loop().schedule(() -> write(progress), WRITE_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
   private void onWritten(RequestJobProgress progress, int number, Optional<ResultPart> stored) {
     JobId id = progress.job().id();
     if (stored.isEmpty()) {
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/RequestJobStore.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/RequestJobStore.java
@@ -1,8 +1,10 @@
 package org.trefoilbarrow.transport.jobs;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -11,6 +13,7 @@
 import org.trefoilbarrow.protocol.JobId;
 import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.protocol.RequestJob;
+import org.trefoilbarrow.protocol.RequestJob.Result;
 import org.trefoilbarrow.protocol.RequestJob.ResultPart;
 import org.trefoilbarrow.state.ConfirmedWrites;
 import org.trefoilbarrow.state.ObjectKind;
@@ -27,17 +30,30 @@
  * <p>Methods block on calls to the platform. Thread-safe.
  */
 public final class RequestJobStore {
-  /** The most characters of one object, below the platform's limit for a value. */
-  static final int MAX_OBJECT_CHARACTERS = 700_000;
+  /** The part of an object's limit that its name, its version and the like may take. */
+  private static final int OBJECT_OVERHEAD_BYTES = 2048;
+
+  /** What the author and the brackets of a part of results may take. */
+  private static final int PART_OVERHEAD_BYTES = 1024;
 
   private static final String PIECES_PREFIX = "pieces:";
 
   private final Platform platform;
   private final ConfirmedWrites writes;
-
-  /** Creates a store at the given platform. */
-  public RequestJobStore(Platform platform) {
+  private final long maxValueBytes;
+
+  /**
+   * Creates a store at the given platform.
+   *
+   * @param maxObjectBytes the most bytes of one object, as the platform keeps it
+   */
+  public RequestJobStore(Platform platform, int maxObjectBytes) {
+    checkArgument(
+        maxObjectBytes > OBJECT_OVERHEAD_BYTES + PART_OVERHEAD_BYTES,
+        "maxObjectBytes is too small: %s",
+        maxObjectBytes);
     this.platform = checkNotNull(platform, "platform");
+    this.maxValueBytes = maxObjectBytes - OBJECT_OVERHEAD_BYTES;
     this.writes = new ConfirmedWrites(platform, (Duration time) -> Thread.sleep(time.toMillis()));
   }
 
@@ -58,9 +74,9 @@
   /** Creates a job; the outcome is a conflict if it exists. */
   WriteOutcome create(RequestJob job, int attempts) {
     String text = JsonCodec.encode(job);
-    if (text.length() > MAX_OBJECT_CHARACTERS) {
+    if (valueBytes(text) > maxValueBytes) {
       String digest = Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
-      List<String> pieces = Splitter.fixedLength(MAX_OBJECT_CHARACTERS).splitToList(text);
+      ImmutableList<String> pieces = split(text);
       for (int index = 0; index < pieces.size(); index++) {
         WriteOutcome outcome =
             writes.write(
@@ -75,6 +91,40 @@
     return writes.write(ObjectKind.JOB, job.id().value(), Platform.ABSENT, text, attempts);
   }
 
+  /**
+   * Returns how many bytes a value takes in an object. Platforms may keep values as text inside
+   * their own JSON, where quotation marks and line feeds take more than one byte.
+   */
+  private static long valueBytes(String value) {
+    return JsonCodec.encodedBytes(value);
+  }
+
+  /** Splits a text into pieces that fit into one object each, in order. */
+  private ImmutableList<String> split(String text) {
+    if (text.length() <= 1 || valueBytes(quote(text)) <= maxValueBytes) {
+      return ImmutableList.of(text);
+    }
+    int middle = text.length() / 2;
+    if (Character.isHighSurrogate(text.charAt(middle - 1))) {
+      // Half of a surrogate pair is no text.
+      middle = middle > 1 ? middle - 1 : middle + 1;
+    }
+    return ImmutableList.<String>builder()
+        .addAll(split(text.substring(0, middle)))
+        .addAll(split(text.substring(middle)))
+        .build();
+  }
+
+  /** Returns how many bytes of {@link #maxResultBytes} a result takes. */
+  static long resultBytes(Result result) {
+    return valueBytes(JsonCodec.encode(result)) + 1;
+  }
+
+  /** Returns the most bytes of the results in one part. */
+  long maxResultBytes() {
+    return maxValueBytes - PART_OVERHEAD_BYTES;
+  }
+
   /** Creates a result part; the outcome is a conflict if the number is used. */
   WriteOutcome createPart(JobId job, int number, ResultPart part, int attempts) {
     return writes.write(
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/RequestJobTable.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/RequestJobTable.java
@@ -37,8 +37,8 @@
 public final class RequestJobTable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** The most characters of the results in one answer. */
-  private static final int MAX_ANSWER_CHARACTERS = 700_000;
+  /** The most bytes of the results in one answer; with its frame, it is below a megabyte. */
+  private static final long MAX_ANSWER_BYTES = 990_000;
 
   private final EventLoop loop;
   private final RequestJobStore store;
@@ -229,7 +229,7 @@
   }
 
   private static JobAnswer resultsAnswer(RequestJobProgress progress, int position) {
-    ImmutableList<Result> results = progress.resultsFrom(position, MAX_ANSWER_CHARACTERS);
+    ImmutableList<Result> results = progress.resultsFrom(position, MAX_ANSWER_BYTES);
     return new JobAnswer(Certainty.FOUND, progress.job().items().size(), results, Optional.empty());
   }
 
--- a/server/src/test/java/org/trefoilbarrow/coordination/jobs/RequestJobProgressTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/jobs/RequestJobProgressTest.java
@@ -36,12 +36,65 @@
         JobId.of("j"), OrganisationId.of("o"), "h.example", "/p/", 1000, list.build());
   }
 
+  private static Optional<ResultPart> nextPart(RequestJobProgress progress, String author) {
+    return progress.nextResultPart(author, MANY, result -> result.output().length());
+  }
+
+  /** Each row: the most bytes of a part, and the items of the parts that are written. */
+  @DataProvider
+  public Object[][] partLimits() {
+    return new Object[][] {
+      {1, List.of("i0", "i1", "i2", "i3")},
+      {20, List.of("i0 i1", "i2 i3")},
+      {29, List.of("i0 i1", "i2 i3")},
+      {100, List.of("i0 i1 i2 i3")}
+    };
+  }
+
+  @Test(dataProvider = "partLimits")
+  public void nextResultPart_holdsAsManyResultsAsFit(long maxBytes, List<String> parts) {
+    RequestJobProgress progress = new RequestJobProgress(job(4));
+    for (int item = 0; item < 4; item++) {
+      progress.recordResult("i" + item, "0123456789");
+    }
+    List<String> written = new ArrayList<>();
+    while (progress.hasResultsToWrite()) {
+      ResultPart part =
+          progress.nextResultPart("me", maxBytes, result -> result.output().length()).orElseThrow();
+      written.add(String.join(" ", part.results().stream().map(Result::item).toList()));
+      progress.apply(progress.nextPartNumber(), part);
+    }
+    assertEquals(written, parts);
+  }
+
+  /** A refused part was sent again unchanged for ever, and held up all later results. */
+  @Test
+  public void partRefused_makesPartsSmallerAndLetsOneLargeResultHoldUpNoOther() {
+    RequestJobProgress progress = new RequestJobProgress(job(8));
+    progress.recordResult("i0", "much too large for any object");
+    for (int item = 1; item < 8; item++) {
+      progress.recordResult("i" + item, "text");
+    }
+    int refusals = 0;
+    while (progress.visibleCount() < 7 && refusals < 10) {
+      ResultPart part = nextPart(progress, "me").orElseThrow();
+      if (part.results().stream().mapToInt(result -> result.output().length()).sum() > 10) {
+        progress.partRefused(part, result -> result.output().length());
+        refusals++;
+      } else {
+        progress.apply(progress.nextPartNumber(), part);
+      }
+    }
+    assertEquals(progress.visibleCount(), 7);
+    assertEquals(progress.unfinishedItems(), ImmutableList.of());
+  }
+
   @Test
   public void resultsAreVisibleOnlyOnceTheirPartIsApplied() {
     RequestJobProgress progress = new RequestJobProgress(job(2));
     progress.recordResult("i0", "text");
     assertEquals(progress.visibleCount(), 0);
-    assertTrue(progress.apply(0, progress.nextResultPart("me", MANY).orElseThrow()));
+    assertTrue(progress.apply(0, nextPart(progress, "me").orElseThrow()));
     assertEquals(progress.resultsFrom(0, MANY), ImmutableList.of(new Result("i0", true, "text")));
     assertFalse(progress.isComplete());
   }
@@ -93,7 +146,7 @@
     assertFalse(progress.recordFailedAttempt("i0", 3));
     assertTrue(progress.recordFailedAttempt("i0", 3));
     assertEquals(
-        progress.nextResultPart("me", MANY).orElseThrow().results(),
+        nextPart(progress, "me").orElseThrow().results(),
         ImmutableList.of(new Result("i0", false, "")));
   }
 
@@ -103,7 +156,7 @@
     progress.recordResult("i0", "text");
     progress.cancel();
     assertTrue(progress.unfinishedItems().isEmpty());
-    assertTrue(progress.nextResultPart("me", MANY).isEmpty());
+    assertTrue(nextPart(progress, "me").isEmpty());
   }
 
   @Test
@@ -111,7 +164,7 @@
     RequestJobProgress progress = new RequestJobProgress(job(2));
     progress.recordResult("i0", "long text");
     progress.recordResult("i1", "long text");
-    progress.apply(0, progress.nextResultPart("me", MANY).orElseThrow());
+    progress.apply(0, nextPart(progress, "me").orElseThrow());
     assertEquals(progress.resultsFrom(0, 1).size(), 1);
   }
 
@@ -164,7 +217,7 @@
 
   private static void write(
       RequestJobProgress writer, String author, List<ResultPart> stored, Random random) {
-    Optional<ResultPart> next = writer.nextResultPart(author, MANY);
+    Optional<ResultPart> next = nextPart(writer, author);
     if (next.isEmpty()) {
       return;
     }
