--- a/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
@@ -49,7 +49,6 @@
   private final Map<String, Integer> failedAttempts = new HashMap<>();
   private OptionalLong routeMissingSinceNanos = OptionalLong.empty();
   private int nextPartNumber;
-  private long acceptedPartBytes = Long.MAX_VALUE;
   private boolean cancelled;
 
   /** Creates the progress of a job without results. */
@@ -226,7 +225,7 @@
     long bytes = 0;
     for (Result result : outcomes.values()) {
       bytes += resultBytes.applyAsLong(result);
-      if (!next.isEmpty() && bytes > Math.min(maxBytes, acceptedPartBytes)) {
+      if (!next.isEmpty() && bytes > maxBytes) {
         break;
       }
       next.add(result);
@@ -234,17 +233,10 @@
     return Optional.of(new ResultPart(author, next));
   }
 
-  /**
-   * Records that the platform refused a part as too large: the next ones are at most half of it. A
-   * result that is too large by itself is put behind the others, so that it does not hold them up.
-   */
-  public void partRefused(ResultPart part, ToLongFunction<Result> resultBytes) {
-    acceptedPartBytes = part.results().stream().mapToLong(resultBytes).sum() / 2;
-    if (part.results().size() == 1) {
-      Result result = part.results().get(0);
-      if (outcomes.remove(result.item(), result)) {
-        outcomes.put(result.item(), result);
-      }
+  /** Puts an outcome that cannot be written behind the others, so that it does not hold them up. */
+  public void postpone(Result outcome) {
+    if (outcomes.remove(outcome.item(), outcome)) {
+      outcomes.put(outcome.item(), outcome);
     }
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -352,7 +352,9 @@
             part.results().size(),
             "bytes",
             part.results().stream().mapToLong(RequestJobStore::resultBytes).sum());
-    progress.partRefused(part, RequestJobStore::resultBytes);
+    if (part.results().size() == 1) {
+      progress.postpone(part.results().get(0));
+    }
     loop().schedule(() -> write(progress), WRITE_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/RequestJobStore.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/RequestJobStore.java
@@ -5,6 +5,7 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -30,17 +31,24 @@
  * <p>Methods block on calls to the platform. Thread-safe.
  */
 public final class RequestJobStore {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** The part of an object's limit that its name, its version and the like may take. */
   private static final int OBJECT_OVERHEAD_BYTES = 2048;
 
   /** What the author and the brackets of a part of results may take. */
   private static final int PART_OVERHEAD_BYTES = 1024;
 
+  /** The limit is not lowered further: smaller objects are refused for another reason. */
+  private static final long MIN_VALUE_BYTES = 4096;
+
   private static final String PIECES_PREFIX = "pieces:";
 
   private final Platform platform;
   private final ConfirmedWrites writes;
-  private final long maxValueBytes;
+
+  /** The most bytes of a value; lowered when the platform refuses a smaller one. */
+  private volatile long maxValueBytes;
 
   /**
    * Creates a store at the given platform.
@@ -74,21 +82,46 @@
   /** Creates a job; the outcome is a conflict if it exists. */
   WriteOutcome create(RequestJob job, int attempts) {
     String text = JsonCodec.encode(job);
+    WriteOutcome outcome = create(job.id(), text, attempts);
+    while (outcome.result() == WriteOutcome.Result.TOO_LARGE && maxValueBytes > MIN_VALUE_BYTES) {
+      outcome = create(job.id(), text, attempts);
+    }
+    return outcome;
+  }
+
+  private WriteOutcome create(JobId id, String jobText, int attempts) {
+    String text = jobText;
     if (valueBytes(text) > maxValueBytes) {
-      String digest = Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
       ImmutableList<String> pieces = split(text);
+      // The same job may have been split into other pieces before, under a larger limit.
+      String name = Hashing.sha256().hashString(text, StandardCharsets.UTF_8) + "-" + pieces.size();
       for (int index = 0; index < pieces.size(); index++) {
         WriteOutcome outcome =
-            writes.write(
-                ObjectKind.JOB_PIECE, digest + "." + index, 0, quote(pieces.get(index)), attempts);
+            create(ObjectKind.JOB_PIECE, name + "." + index, quote(pieces.get(index)), attempts);
+        if (outcome.result() == WriteOutcome.Result.TOO_LARGE) {
+          return outcome;
+        }
         if (!outcome.isApplied() && outcome.result() != WriteOutcome.Result.CONFLICT) {
           // The job exists only once its own object is written; pieces alone have no effect.
           return new WriteOutcome(WriteOutcome.Result.NOT_SENT, 0);
         }
       }
-      text = quote(PIECES_PREFIX + digest + ":" + pieces.size());
+      text = quote(PIECES_PREFIX + name + ":" + pieces.size());
+    }
+    return create(ObjectKind.JOB, id.value(), text, attempts);
+  }
+
+  /** Creates an object, and lowers the limit if the platform refuses a size that should fit. */
+  private WriteOutcome create(ObjectKind kind, String name, String value, int attempts) {
+    WriteOutcome outcome = writes.write(kind, name, Platform.ABSENT, value, attempts);
+    long bytes = valueBytes(value);
+    if (outcome.result() == WriteOutcome.Result.TOO_LARGE && bytes <= maxValueBytes) {
+      maxValueBytes = Math.max(MIN_VALUE_BYTES, bytes / 2);
+      logger.atWarning().log(
+          "jobs: platform refused a value of %d bytes as too large; the limit is %d bytes now",
+          bytes, maxValueBytes);
     }
-    return writes.write(ObjectKind.JOB, job.id().value(), Platform.ABSENT, text, attempts);
+    return outcome;
   }
 
   /**
@@ -127,12 +160,7 @@
 
   /** Creates a result part; the outcome is a conflict if the number is used. */
   WriteOutcome createPart(JobId job, int number, ResultPart part, int attempts) {
-    return writes.write(
-        ObjectKind.RESULT,
-        partName(job, number),
-        Platform.ABSENT,
-        JsonCodec.encode(part),
-        attempts);
+    return create(ObjectKind.RESULT, partName(job, number), JsonCodec.encode(part), attempts);
   }
 
   /** Records that a job was cancelled; the outcome is a conflict if it was before. */
--- a/server/src/test/java/org/trefoilbarrow/state/FaultyPlatform.java
+++ b/server/src/test/java/org/trefoilbarrow/state/FaultyPlatform.java
@@ -18,6 +18,7 @@
   private final Random random;
   private final Map<String, VersionedObject> objects = new TreeMap<>();
   private double failureProbability;
+  private int maxLength = Integer.MAX_VALUE;
   private boolean ignoresVersions;
   private int consecutiveFailures;
   private long revision;
@@ -41,9 +42,17 @@
     return Optional.ofNullable(objects.get(key(kind, name)));
   }
 
+  /** Sets the length from which values are refused as too large. */
+  public void setMaxLength(int length) {
+    maxLength = length;
+  }
+
   @Override
   public Optional<Long> write(ObjectKind kind, String name, long expectedVersion, String value) {
     failAtRandom();
+    if (value.length() > maxLength) {
+      throw PlatformException.tooLarge("the value is too large");
+    }
     if (!ignoresVersions && versionOf(kind, name) != expectedVersion) {
       failAtRandom();
       return Optional.empty();
--- a/server/src/test/java/org/trefoilbarrow/transport/jobs/RequestJobStoreTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/jobs/RequestJobStoreTest.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -55,6 +56,19 @@
     assertEquals(store.read(job.id()).orElseThrow(), job);
   }
 
+  /** A limit below the one of the settings is found by the refusals. */
+  @Test
+  public void create_usesSmallerObjectsWhenThePlatformRefusesThem() {
+    platform.setMaxLength(MAX_OBJECT_BYTES / 3);
+    RequestJob job = job(Strings.repeat("a", 2 * TEXT_LENGTH));
+    assertTrue(store.create(job, 1).isApplied());
+    assertEquals(store.read(job.id()).orElseThrow(), job);
+    Result result = new Result("i", true, Strings.repeat("a", 100));
+    long results = store.maxResultBytes() / RequestJobStore.resultBytes(result);
+    ResultPart part = new ResultPart("author", Collections.nCopies((int) results, result));
+    assertTrue(store.createPart(JOB, 0, part, 1).isApplied());
+  }
+
   private static RequestJob job(String text) {
     return new RequestJob(
         JOB,
