Bound what all responses in progress take of a host's memory

A report of another operator: faulty servers sent bytes without end, and the machine that kept them ran out of memory. It can happen here: 160 responses of 3 MiB at once ended the host with callers, and an item's error text without an end was read for as long as it came (67 MB in the test). Cause: a bound for each response, none for all; none at all for an item's body that is no stream. Change: responses in progress share a quarter of the heap, and the largest is given up first (BufferBudget); items bound what they read, and a run ends after its time limit. An output that no part of results can hold is kept out of the writes. Test: EndlessBytesTest (red before: the host ended, both rows), endlessResponseToItemIsGivenUp (three of five rows red before), BufferBudgetTest.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -25,6 +25,7 @@
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.drain.DrainSchedule;
+import org.trefoilbarrow.coordination.memory.BufferBudget;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.protocol.FailureDomainId;
@@ -97,6 +98,9 @@
   /** How long a dispatching host that leaves waits for the next one. */
   private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(1);
 
+  /** The fraction of the heap that responses in progress may take together. */
+  private static final double BUFFERED_FRACTION = 0.25;
+
   private static final int PLATFORM_THREADS = 4;
 
   private static final ImmutableList<ObjectKind> WATCHED_BY_ALL_HOSTS =
@@ -214,6 +218,7 @@
             placements,
             new BackendConnections(loop, adapter.dialect(), nanoClock),
             new ServerEndDetector(loop, nanoClock, placements::reportServerEnd),
+            BufferBudget.of((long) (Runtime.getRuntime().maxMemory() * BUFFERED_FRACTION)),
             adapter.dialect(),
             log,
             metrics,
@@ -324,6 +329,7 @@
     metrics.gauge("dispatch_waiting", dispatcher::waitingCount);
     metrics.gauge("dispatch_running", dispatcher::runningCount);
     metrics.gauge("quarantined_parts", () -> quarantine.count(nanoClock.getAsLong()));
+    metrics.gauge("buffered_response_bytes", () -> services.buffers().totalBytes());
     metrics.gauge("platform_calls", platform::callCount);
     metrics.gauge("log_lines_dropped", log::droppedCount);
     metrics.gauge("configuration_version", () -> fleet.catalog().map(Catalog::version).orElse(0L));
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -13,10 +13,11 @@
 import org.trefoilbarrow.state.fleet.BackendServer;
 
 /** One attempt of a caller's request at one backend server: reads the response and reports it. */
-final class BackendAttempt implements BackendResponseHandler {
+final class BackendAttempt implements BackendResponseHandler, ResponseBuffer {
   /** The most bytes of a whole response that are buffered. */
   private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
+  private final ForwardServices services;
   private final BackendServer backend;
   private final String requestId;
   private final boolean conditional;
@@ -63,11 +64,13 @@
    * @param isStream whether a response to a request that ran is part of an event stream
    */
   BackendAttempt(
+      ForwardServices services,
       BackendServer backend,
       String requestId,
       boolean conditional,
       Predicate<HttpResponse> isStream,
       Listener listener) {
+    this.services = checkNotNull(services, "services");
     this.backend = checkNotNull(backend, "backend");
     this.requestId = checkNotNull(requestId, "requestId");
     this.conditional = conditional;
@@ -85,18 +88,28 @@
   }
 
   /** Sends the request; the connection releases it. */
-  void send(BackendConnections connections, FullHttpRequest request) {
-    cancellation = connections.send(backend, request, this);
+  void send(FullHttpRequest request) {
+    cancellation = services.connections().send(backend, request, this);
   }
 
   /** Cancels the attempt unless it has ended; nothing more is reported. */
   void cancel() {
     if (!ended) {
-      ended = true;
+      end();
       cancellation.cancel();
     }
   }
 
+  private void end() {
+    ended = true;
+    services.buffers().release(this);
+  }
+
+  /** Returns how many bytes of the response are kept. */
+  int bufferedBytes() {
+    return body.capacity() + events.bufferedBytes();
+  }
+
   @Override
   public String requestId() {
     return requestId;
@@ -123,21 +136,27 @@
       listener.onEvent(response.get(), event);
     }
     if (events.isTooLong()) {
-      endTooLongResponse();
+      giveUp();
+    } else if (!ended) {
+      services.hold(this, bufferedBytes());
     }
   }
 
   private void readWholeResponse(ByteBuf part) {
     if (body.readableBytes() + part.readableBytes() > MAX_RESPONSE_BYTES) {
-      endTooLongResponse();
+      giveUp();
     } else {
       body.writeBytes(part);
+      services.hold(this, bufferedBytes());
     }
   }
 
-  private void endTooLongResponse() {
-    cancel();
-    listener.onLost(this);
+  @Override
+  public void giveUp() {
+    if (!ended) {
+      cancel();
+      listener.onLost(this);
+    }
   }
 
   @Override
@@ -145,7 +164,7 @@
     if (ended) {
       return;
     }
-    ended = true;
+    end();
     if (notRunResult.isPresent()) {
       listener.onNotRun(this, notRunResult.get());
     } else if (impliesNotRun) {
@@ -193,7 +212,7 @@
     if (ended) {
       return;
     }
-    ended = true;
+    end();
     if (notRunResult.isPresent()) {
       listener.onNotRun(this, notRunResult.get());
     } else if (sent) {
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/EventStream.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/EventStream.java
@@ -93,6 +93,11 @@
     return events.build();
   }
 
+  /** Returns the bytes of the incomplete event that are buffered. */
+  public int bufferedBytes() {
+    return partial.size();
+  }
+
   /** Returns whether an event exceeded the limit; nothing is read after that. */
   public boolean isTooLong() {
     return tooLong;
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.function.LongSupplier;
+import org.trefoilbarrow.coordination.memory.BufferBudget;
 import org.trefoilbarrow.state.fleet.FleetView;
 import org.trefoilbarrow.transport.link.PlacementClient;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
@@ -14,6 +15,7 @@
  * @param placements requests slots at backend servers
  * @param connections the pool of connections to backend servers
  * @param serverEnds reports backend servers that ended before they began to answer
+ * @param buffers bounds the memory of the responses in progress
  * @param dialect the HTTP conventions of callers and backend servers
  * @param log the event log
  * @param metrics the counters and histograms
@@ -25,7 +27,14 @@
     PlacementClient placements,
     BackendConnections connections,
     ServerEndDetector serverEnds,
+    BufferBudget<ResponseBuffer> buffers,
     HttpDialect dialect,
     EventLog log,
     FleetMetrics metrics,
-    LongSupplier nanoClock) {}
+    LongSupplier nanoClock) {
+
+  /** Records how much a response takes, and gives up responses that take too much. */
+  public void hold(ResponseBuffer response, long bytes) {
+    buffers.hold(response, bytes).forEach(ResponseBuffer::giveUp);
+  }
+}
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -255,9 +255,14 @@
             EmptyHttpHeaders.INSTANCE);
     BackendAttempt next =
         new BackendAttempt(
-            backend, attributes.requestId(), attributes.conditional(), this::isStream, this);
+            services,
+            backend,
+            attributes.requestId(),
+            attributes.conditional(),
+            this::isStream,
+            this);
     attempt = Optional.of(next);
-    next.send(services.connections(), sent);
+    next.send(sent);
   }
 
   /** Returns whether a response is the caller's stream, or may go on with what has begun of it. */
@@ -508,7 +513,9 @@
             "result",
             PlacementResult.FAILED,
             "lastEvent",
-            lastEventId.orElse(""));
+            lastEventId.orElse(""),
+            "bufferedBytes",
+            lost.bufferedBytes());
     excluded.add(lost.backend().id());
     releaseUsedSlot(PlacementResult.FAILED);
     switch (failover.attemptLost(now())) {
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -34,6 +34,7 @@
 import org.trefoilbarrow.transport.forward.ForwardServices;
 import org.trefoilbarrow.transport.forward.HopByHopHeaders;
 import org.trefoilbarrow.transport.forward.ResponseAttributes;
+import org.trefoilbarrow.transport.forward.ResponseBuffer;
 import org.trefoilbarrow.transport.link.DemandSpec;
 import org.trefoilbarrow.transport.link.PlacementListener;
 
@@ -54,6 +55,12 @@
    */
   private static final Duration RESULT_DELAY = Duration.ofMillis(800);
 
+  /** The most bytes that are read of a response that is no output, such as an error's text. */
+  private static final long MAX_IGNORED_BYTES = 1 << 16;
+
+  /** The most bytes of a stream, with the identifiers of its events, for one of the output. */
+  private static final long MAX_BYTES_PER_CHARACTER = 16;
+
   private static final Duration RETRY_DELAY = Duration.ofMillis(200);
   private static final int UNPROCESSABLE_STATUS = 422;
   private static final int OK_STATUS = 200;
@@ -152,8 +159,7 @@
   /** Resumes the item at another backend server if its current run has stalled. */
   void checkProgress(long nowNanos) {
     Optional<Attempt> current = attempt;
-    if (current.isPresent()
-        && nowNanos - current.get().lastProgressNanos > STALL_TIMEOUT.toNanos()) {
+    if (current.isPresent() && current.get().isStalled(nowNanos)) {
       log("stalled");
       retryElsewhere(current.get().backend, PlacementResult.STALLED);
     }
@@ -264,6 +270,15 @@
     }
   }
 
+  /** Discards what was received, since it is no output; the item starts from its beginning. */
+  private void discardOutput() {
+    output.setLength(0);
+    output.trimToSize();
+    hasData = false;
+    lastEventId = Optional.empty();
+    streamType = Optional.empty();
+  }
+
   private void retryElsewhere(BackendServer backend, PlacementResult result) {
     releaseSlot(result);
     excluded.clear();
@@ -302,7 +317,7 @@
   }
 
   /** One attempt of the item at one backend server. */
-  private final class Attempt implements BackendResponseHandler {
+  private final class Attempt implements BackendResponseHandler, ResponseBuffer {
     private final BackendServer backend;
     private final EventStream events = new EventStream();
     private BackendConnections.Cancellation cancellation = () -> {};
@@ -310,6 +325,7 @@
     private Optional<String> type = Optional.empty();
     private Optional<PlacementResult> notRunResult = Optional.empty();
     private boolean responseBegan;
+    private long receivedBytes;
     private boolean framed;
     private boolean ended;
     private final long sentNanos = now();
@@ -324,13 +340,33 @@
       return item.id();
     }
 
+    /** Returns whether nothing comes any more, or more than any run may take. */
+    boolean isStalled(long nowNanos) {
+      return nowNanos - lastProgressNanos > STALL_TIMEOUT.toNanos()
+          || nowNanos - sentNanos > RUN_TIMEOUT.plus(STALL_TIMEOUT).toNanos();
+    }
+
     void cancel() {
       if (!ended) {
-        ended = true;
+        end();
         cancellation.cancel();
       }
     }
 
+    private void end() {
+      ended = true;
+      services.buffers().release(this);
+    }
+
+    @Override
+    public void giveUp() {
+      if (!ended) {
+        log("too long");
+        discardOutput();
+        retryElsewhere(backend, PlacementResult.FAILED);
+      }
+    }
+
     @Override
     public void onHeaders(HttpResponse response, ResponseAttributes attributes) {
       lastProgressNanos = now();
@@ -343,16 +379,25 @@
     @Override
     public void onBody(ByteBuf part) {
       lastProgressNanos = now();
+      receivedBytes += part.readableBytes();
       if (!continuesStream()) {
+        if (receivedBytes > MAX_IGNORED_BYTES) {
+          log("too long");
+          retryElsewhere(backend, PlacementResult.FAILED);
+        }
         return;
       }
       for (EventStream.Event event : events.append(part)) {
         responseBegan = true;
         appendEvent(event);
       }
-      if (events.isTooLong()) {
-        log("lost");
-        retryElsewhere(backend, PlacementResult.FAILED);
+      long maxOutput = runner.maxOutputCharacters();
+      if (events.isTooLong()
+          || output.length() > maxOutput
+          || receivedBytes > MAX_BYTES_PER_CHARACTER * maxOutput) {
+        giveUp();
+      } else {
+        services.hold(this, (long) output.length() * Character.BYTES + events.bufferedBytes());
       }
     }
 
@@ -381,7 +426,7 @@
 
     @Override
     public void onEnd() {
-      ended = true;
+      end();
       if (done) {
         return;
       }
@@ -391,6 +436,11 @@
       if (notRunResult.isPresent()) {
         log("unrun");
         retryElsewhere(backend, notRunResult.get());
+      } else if (isWholeOutput() && !runner.canBeWritten(item.id(), output.toString())) {
+        // Another run would be as long; the item waits for its retention.
+        log("too long");
+        releaseSlot(PlacementResult.ANSWERED);
+        done = true;
       } else if (isWholeOutput()) {
         log("done");
         releaseSlot(PlacementResult.ANSWERED);
@@ -439,7 +489,7 @@
 
     @Override
     public void onBroken(boolean sent) {
-      ended = true;
+      end();
       if (!done) {
         log("lost");
         if (sent) {
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/JobRunner.java
@@ -23,6 +23,7 @@
 import org.trefoilbarrow.protocol.JobId;
 import org.trefoilbarrow.protocol.RequestJob;
 import org.trefoilbarrow.protocol.RequestJob.JobItem;
+import org.trefoilbarrow.protocol.RequestJob.Result;
 import org.trefoilbarrow.protocol.RequestJob.ResultPart;
 import org.trefoilbarrow.state.PlatformException;
 import org.trefoilbarrow.state.WriteOutcome;
@@ -272,6 +273,16 @@
         > route.retentionMillis() + RETENTION_MARGIN.toMillis();
   }
 
+  /** Returns the most characters of an output; a longer one fits into no part of results. */
+  long maxOutputCharacters() {
+    return store.maxResultBytes();
+  }
+
+  /** Returns whether the platform accepts the result of an item. */
+  boolean canBeWritten(String item, String output) {
+    return RequestJobStore.resultBytes(new Result(item, true, output)) <= store.maxResultBytes();
+  }
+
   /** Ends the run of an item that has an outcome or no longer needs one. */
   void endRun(RequestJobProgress progress, String item) {
     Map<String, ItemRun> running = runs.get(progress.job().id());
