Take late requests in a planned stop only if they end in time, and answer the rest

It can happen here: until half of the stop every request was taken, also one with more time than was left, and the exit answered nothing. Change: once the balancer can have found the host not ready (2.6 s), a request is taken only if its time limit ends before the process does. At the exit, what is in progress gets 504, or 503 if it has certainly not run, unless its response has begun.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.net.HostAndPort;
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -98,6 +99,11 @@
   /** How long a dispatching host that leaves waits for the next one. */
   private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(1);
 
+  /** How long a host that must exit waits until its last answers are sent. */
+  private static final Duration LAST_ANSWERS_TIMEOUT = Duration.ofMillis(250);
+
+  private static final Duration LAST_ANSWERS_CHECK_INTERVAL = Duration.ofMillis(10);
+
   /** The fraction of the heap that responses in progress may take together. */
   private static final double BUFFERED_FRACTION = 0.25;
 
@@ -279,9 +285,23 @@
         break;
       }
     }
+    endRequests();
     log.add("host", "end", "host", self.host());
   }
 
+  /** Answers what is still in progress, and waits for a moment until the answers are sent. */
+  private void endRequests() {
+    loop.submit(() -> ingress.ifPresent(Ingress::endRequests)).syncUninterruptibly();
+    long startedNanos = nanoClock.getAsLong();
+    while (nanoClock.getAsLong() - startedNanos < LAST_ANSWERS_TIMEOUT.toNanos()
+        && loop.submit(() -> ingress.map(Ingress::connectionCount).orElse(0))
+                .syncUninterruptibly()
+                .getNow()
+            > 0) {
+      Uninterruptibles.sleepUninterruptibly(LAST_ANSWERS_CHECK_INTERVAL);
+    }
+  }
+
   private boolean isDrained(DrainSchedule drain, long stopStartNanos) {
     if (ingress.isEmpty()) {
       return !placements.isDispatching()
--- a/server/src/main/java/org/trefoilbarrow/coordination/drain/DrainSchedule.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/drain/DrainSchedule.java
@@ -6,8 +6,9 @@
 
 /**
  * The steps of a shutdown that cuts no request. A balancer sends new callers for a while, and goes
- * on to do so if it has no other host; so the second half of the time is left to requests that are
- * in progress, and new ones are refused, which callers can send elsewhere at once.
+ * on to do so if it has no other host. Once it can have found the host not ready, only requests are
+ * served that end before the process must exit, whatever they turn out to need; callers can send
+ * the others elsewhere at once.
  *
  * <p>Immutable.
  */
@@ -37,9 +38,15 @@
     return new DrainSchedule(startNanos, limit);
   }
 
-  /** Returns whether new requests are served; later ones are refused. */
-  public boolean acceptsRequests(long nowNanos) {
-    return nowNanos - startNanos < limit.dividedBy(2).toNanos();
+  /**
+   * Returns whether a new request is served; others are refused.
+   *
+   * @param maxNanos the longest time that the request may take
+   */
+  public boolean acceptsRequest(long maxNanos, long nowNanos) {
+    long elapsedNanos = nowNanos - startNanos;
+    long balancerNanos = Math.min(UNREADY_GRACE_PERIOD.toNanos(), limit.toNanos() / 2);
+    return elapsedNanos < balancerNanos || maxNanos <= endNanos() - elapsedNanos;
   }
 
   /** Returns whether connections without a request are closed. */
@@ -49,6 +56,10 @@
 
   /** Returns whether the process must exit even if requests are in progress. */
   public boolean isOver(long nowNanos) {
-    return nowNanos - startNanos >= limit.minus(EXIT_MARGIN).toNanos();
+    return nowNanos - startNanos >= endNanos();
+  }
+
+  private long endNanos() {
+    return limit.minus(EXIT_MARGIN).toNanos();
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -88,6 +88,12 @@
     this.timeout = scheduleTimeout();
   }
 
+  /** Returns the longest time that a request may take, in nanoseconds. */
+  static long maxNanos(Route route, RequestAttributes attributes) {
+    long deadlineMillis = attributes.deadlineMillis().orElse(Long.MAX_VALUE);
+    return TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMillis(), deadlineMillis));
+  }
+
   private long deadlineNanos(long timeoutMillis) {
     long limitMillis = Math.min(timeoutMillis, attributes.deadlineMillis().orElse(Long.MAX_VALUE));
     return startNanos + limitMillis * NANOS_IN_MILLI;
@@ -326,6 +332,15 @@
   }
 
   private void onTimeout() {
+    endUnanswered(ErrorKind.QUEUE_FULL, 0, "timeout");
+  }
+
+  /** Ends the request because the process must exit. */
+  void stop(long retryAfterMillis) {
+    endUnanswered(ErrorKind.SHUTTING_DOWN, retryAfterMillis, "ended by shutdown");
+  }
+
+  private void endUnanswered(ErrorKind unprocessedKind, long retryAfterMillis, String outcome) {
     if (done) {
       return;
     }
@@ -336,9 +351,9 @@
       // A request that is at a backend server may run there, so it is not refused as unprocessed.
       responder.refuse(ErrorKind.BACKEND_TIMEOUT, 0);
     } else {
-      responder.refuse(ErrorKind.QUEUE_FULL, 0);
+      responder.refuse(unprocessedKind, retryAfterMillis);
     }
-    end("timeout");
+    end(outcome);
   }
 
   /** Cancels the attempt, if one runs, and gives back its slot. */
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -71,6 +71,9 @@
   private static final Duration BIND_RETRY_DELAY = Duration.ofMillis(300);
   private static final Duration UNAVAILABLE_RETRY_DELAY = Duration.ofMillis(500);
 
+  /** The longest time of a call that concerns a job: the platform's answers and their retries. */
+  private static final Duration MAX_JOB_CALL_TIME = Duration.ofSeconds(4);
+
   /** The most bytes of one chunk; bodies are aggregated before they are forwarded. */
   private static final int MAX_CHUNK_BYTES = 65_536;
 
@@ -123,16 +126,36 @@
 
   /**
    * Fails readiness checks from now on, closes each connection after its next response, and refuses
-   * new requests when the schedule says so.
+   * the new requests that the schedule does not accept.
    */
   public void startDraining(DrainSchedule schedule) {
     drain = Optional.of(schedule);
     ready = false;
   }
 
-  private boolean refusesNewRequests() {
+  /** Returns whether a request that may take the given time is refused, since the host stops. */
+  private boolean refuses(long maxNanos) {
     long now = services.nanoClock().getAsLong();
-    return drain.isPresent() && !drain.get().acceptsRequests(now);
+    return drain.isPresent() && !drain.get().acceptsRequest(maxNanos, now);
+  }
+
+  private static void refuseForShutdown(Response response) {
+    response.refuse(ErrorKind.SHUTTING_DOWN, UNAVAILABLE_RETRY_DELAY.toMillis());
+  }
+
+  /** Ends all requests in progress, with an answer unless their response has begun. */
+  public void endRequests() {
+    long retryAfterMillis = UNAVAILABLE_RETRY_DELAY.toMillis();
+    ImmutableList.copyOf(calls).forEach(call -> call.stop(retryAfterMillis));
+    for (Connection connection : ImmutableList.copyOf(connections)) {
+      // What is left are calls that concern jobs, whose outcome is unknown.
+      connection.response.ifPresent(response -> response.refuse(ErrorKind.BACKEND_TIMEOUT, 0));
+    }
+  }
+
+  /** Returns the number of open connections. */
+  public int connectionCount() {
+    return connections.size();
   }
 
   /** Closes the connections on which no request is in progress or arriving. */
@@ -334,10 +357,6 @@
           Unpooled.EMPTY_BUFFER);
       return;
     }
-    if (refusesNewRequests()) {
-      response.refuse(ErrorKind.SHUTTING_DOWN, UNAVAILABLE_RETRY_DELAY.toMillis());
-      return;
-    }
     Optional<Catalog> catalog = services.fleet().catalog();
     if (catalog.isEmpty()) {
       response.refuse(ErrorKind.HOST_NOT_READY, UNAVAILABLE_RETRY_DELAY.toMillis());
@@ -351,6 +370,10 @@
     response.requestId = attributes.requestId();
     Optional<JobCall> jobCall = services.dialect().parseJobCall(request);
     if (jobCall.isPresent()) {
+      if (refuses(MAX_JOB_CALL_TIME.toNanos())) {
+        refuseForShutdown(response);
+        return;
+      }
       handleJobCall(catalog.get(), attributes, jobCall.get(), response);
       return;
     }
@@ -381,7 +404,13 @@
       response.refuse(ErrorKind.INVALID_REQUEST, 0);
       return;
     }
-    if (route.get().requestKind() == Route.RequestKind.BATCH) {
+    boolean isJob = route.get().requestKind() == Route.RequestKind.BATCH;
+    if (refuses(
+        isJob ? MAX_JOB_CALL_TIME.toNanos() : ForwardedCall.maxNanos(route.get(), attributes))) {
+      refuseForShutdown(response);
+      return;
+    }
+    if (isJob) {
       submitJob(request, attributes, path, organisation, response);
       return;
     }
