Place an item again at the only server of its service that failed it

Change: what an item excludes counts only while the service has another server. Test: DispatcherTest.submit_placesItemAtTheServerThatFailedItIfThereIsNoOther, red before the fix.

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -3,10 +3,12 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.math.IntMath;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.state.fleet.BackendServer;
@@ -91,10 +93,11 @@
    * @param fraction the fraction of each limit that this dispatcher may use
    */
   Optional<BackendServer> choose(Demand demand, double fraction, long nowNanos) {
+    Set<BackendServerId> excluded = excludedServers(demand, nowNanos);
     BackendServer best = null;
     double bestScore = Double.MAX_VALUE;
     for (BackendServer backend : usable(demand.service())) {
-      if (!isCurrent(backend, nowNanos) || demand.excluded().contains(backend.id())) {
+      if (!isCurrent(backend, nowNanos) || excluded.contains(backend.id())) {
         continue;
       }
       BackendLoad load = load(backend.id());
@@ -116,6 +119,19 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns the servers that a demand must not be placed at. An item goes back to a server that
+   * failed it if there is no other; without that, it would wait for one for ever.
+   */
+  private Set<BackendServerId> excludedServers(Demand demand, long nowNanos) {
+    boolean hasOthers =
+        !demand.batch()
+            || usable(demand.service()).stream()
+                .filter(backend -> isCurrent(backend, nowNanos))
+                .anyMatch(backend -> !demand.excluded().contains(backend.id()));
+    return hasOthers ? demand.excluded() : ImmutableSet.of();
+  }
+
   /** Returns the backend servers of a service that may get new requests. */
   private ImmutableList<BackendServer> usable(String service) {
     if (fleet.changeCount() != indexedChangeCount) {
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -326,6 +326,28 @@
     assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Refused.class), 1);
   }
 
+  /** An item that the only server of its service had failed waited for another one for ever. */
+  @Test
+  public void submit_placesItemAtTheServerThatFailedItIfThereIsNoOther() {
+    backend("a", 4, true, 0);
+    Demand retry =
+        new Demand(
+            new DemandId(HostId.of("jobs"), nextCall++),
+            SERVICE,
+            Optional.empty(),
+            2,
+            true,
+            60 * SECOND,
+            60 * SECOND,
+            true,
+            ImmutableSet.of(BackendServerId.of("a")));
+    assertEquals(count(dispatcher.submit(retry, 0), Decision.Placed.class), 1);
+    dispatcher.finished(retry.id(), PlacementResult.FAILED, false, 0);
+    backend("b", 4, true, 0);
+    Decision.Placed placed = (Decision.Placed) dispatcher.submit(retry, 0).get(0);
+    assertEquals(placed.backend(), BackendServerId.of("b"));
+  }
+
   /** A server was left out for good after rejections that its entry at the platform contradicts. */
   @Test
   public void submit_placesWorkAgainAtAServerThatWasReportedAsReplaced() {
