Send an item less often while all servers reject it

The pause was 200 ms whatever came of it. Change: from the fourth rejection in a row on, the pause doubles up to 3.2 s; an event ends the count. Open: such items keep their places among the 512 active ones of a host. Test: RetryPauseTest (new decision, no red run).

--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -23,6 +23,7 @@
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
 import org.trefoilbarrow.coordination.jobs.ItemDurationEstimator;
 import org.trefoilbarrow.coordination.jobs.RequestJobProgress;
+import org.trefoilbarrow.coordination.jobs.RetryPause;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.protocol.RequestJob.JobItem;
@@ -61,7 +62,6 @@
   /** The most bytes of a stream, with the identifiers of its events, for one of the output. */
   private static final long MAX_BYTES_PER_CHARACTER = 16;
 
-  private static final Duration RETRY_DELAY = Duration.ofMillis(200);
   private static final int UNPROCESSABLE_STATUS = 422;
   private static final int OK_STATUS = 200;
 
@@ -89,6 +89,7 @@
   private String demandedService = "";
   private long demandNumber = -1;
   private long totalRunNanos;
+  private int rejections;
   private boolean hasData;
   private boolean done;
 
@@ -207,7 +208,7 @@
                 requestSlot();
               }
             },
-            RETRY_DELAY.toMillis(),
+            RetryPause.after(rejections).toMillis(),
             TimeUnit.MILLISECONDS);
   }
 
@@ -389,6 +390,7 @@
       }
       for (EventStream.Event event : events.append(part)) {
         responseBegan = true;
+        rejections = 0;
         appendEvent(event);
       }
       long maxOutput = runner.maxOutputCharacters();
@@ -434,6 +436,7 @@
         checkServerUnlessBegan();
       }
       if (notRunResult.isPresent()) {
+        rejections++;
         log("unrun");
         retryElsewhere(backend, notRunResult.get());
       } else if (isWholeOutput() && !runner.canBeWritten(item.id(), output.toString())) {
