Let the probe find a configuration that a lost answer withheld

Change: the probe, of the same price, reads the configuration in place of a list that is mostly empty; if the watch does not report the revision within 500 ms, the host reads the configuration and begins its watches anew.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -99,6 +99,9 @@
   /** How long a dispatching host that leaves waits for the next one. */
   private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(1);
 
+  /** How long the answer to a watch may take after a probe has found what it should report. */
+  private static final Duration WATCH_ANSWER_TIMEOUT = Duration.ofMillis(500);
+
   /** How long a host that must exit waits until its last answers are sent. */
   private static final Duration LAST_ANSWERS_TIMEOUT = Duration.ofMillis(250);
 
@@ -146,6 +149,7 @@
   private final CollectionRefresher configurationRefresher;
   private final ForwardServices services;
   private final long startNanos;
+  private long noticedRevision;
   private Optional<Ingress> ingress = Optional.empty();
   private Optional<JobRunner> runner = Optional.empty();
   private volatile boolean leaving;
@@ -431,7 +435,7 @@
     }
     watchers.build().forEach(CollectionWatcher::start);
     new PlatformProbe(
-            platform::probe,
+            () -> noticeConfiguration(platform.probe()),
             () -> log.add("platform", "lost"),
             () -> {
               log.add("platform", "regained");
@@ -440,6 +444,30 @@
         .start();
   }
 
+  /**
+   * Compares a revision that a probe found with the one in force. If the watch does not report it
+   * within a moment, its answer is lost.
+   */
+  private void noticeConfiguration(long revision) {
+    loop.execute(
+        () -> {
+          if (revision > Math.max(fleet.catalogRevision(), noticedRevision)) {
+            noticedRevision = revision;
+            loop.schedule(
+                () -> catchUp(revision), WATCH_ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+          }
+        });
+  }
+
+  private void catchUp(long revision) {
+    if (fleet.catalogRevision() < revision) {
+      log.add("config", "behind", "revision", revision, "inForce", fleet.catalogRevision());
+      configurationRefresher.refresh();
+      // What else was answered on lost connections is not known either.
+      executor.execute(platform::abortWatches);
+    }
+  }
+
   private void onConfigurationConfirmed(ObjectPage page, long sinceNanos) {
     boolean isReadable = true;
     for (VersionedObject object : page.objects()) {
--- a/server/src/main/java/org/trefoilbarrow/command/PlatformAdapter.java
+++ b/server/src/main/java/org/trefoilbarrow/command/PlatformAdapter.java
@@ -28,9 +28,11 @@
     /**
      * Makes a cheap call to check whether the platform responds.
      *
+     * @return a revision of the configuration that the platform has, which may be seconds old; 0 if
+     *     it has none
      * @throws org.trefoilbarrow.state.PlatformException if it does not
      */
-    void probe();
+    long probe();
 
     /** Aborts all long polls, which then fail as if the platform had not responded. */
     void abortWatches();
--- a/server/src/main/java/org/trefoilbarrow/state/fleet/FleetView.java
+++ b/server/src/main/java/org/trefoilbarrow/state/fleet/FleetView.java
@@ -29,6 +29,11 @@
     return catalog;
   }
 
+  /** Returns the revision of the newest configuration; 0 if none has been applied. */
+  public long catalogRevision() {
+    return catalogRevision;
+  }
+
   /** Applies a configuration if its revision is newer; returns whether it was applied. */
   public boolean apply(Catalog newer, long revision) {
     checkNotNull(newer, "newer");
