--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -34,7 +34,6 @@
 import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.settings.FleetHostSettings;
 import org.trefoilbarrow.state.ObjectKind;
-import org.trefoilbarrow.state.ObjectPage;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.FleetView;
@@ -54,7 +53,6 @@
 import org.trefoilbarrow.transport.link.TermStore;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
 import org.trefoilbarrow.transport.metrics.MetricsEndpoint;
-import org.trefoilbarrow.transport.platform.CollectionRefresher;
 import org.trefoilbarrow.transport.platform.CollectionWatcher;
 import org.trefoilbarrow.transport.platform.PlatformProbe;
 
@@ -99,9 +97,6 @@
   /** How long a dispatching host that leaves waits for the next one. */
   private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(1);
 
-  /** How long the answer to a watch may take after a probe has found what it should report. */
-  private static final Duration WATCH_ANSWER_TIMEOUT = Duration.ofMillis(500);
-
   /** How long a host that must exit waits until its last answers are sent. */
   private static final Duration LAST_ANSWERS_TIMEOUT = Duration.ofMillis(250);
 
@@ -146,10 +141,9 @@
   private final RequestJobStore jobStore;
   private final RequestJobTable jobTable;
   private final HostRegistration registration;
-  private final CollectionRefresher configurationRefresher;
+  private final CatalogFollower configuration;
   private final ForwardServices services;
   private final long startNanos;
-  private long noticedRevision;
   private Optional<Ingress> ingress = Optional.empty();
   private Optional<JobRunner> runner = Optional.empty();
   private volatile boolean leaving;
@@ -213,13 +207,15 @@
             log);
     this.jobStore = new RequestJobStore(platform, settings.maxObjectBytes());
     this.jobTable = new RequestJobTable(loop, jobStore, executor, !settings.servesCallers());
-    this.configurationRefresher =
-        new CollectionRefresher(
+    this.configuration =
+        new CatalogFollower(
             platform,
-            ObjectKind.CONFIGURATION,
+            adapter.decoder(),
+            fleet,
+            placements::onFleetChanged,
             executor,
             loop,
-            this::onConfigurationConfirmed,
+            log,
             nanoClock);
     this.services =
         new ForwardServices(
@@ -338,7 +334,7 @@
               executor,
               self,
               this::hasReadAllCollections,
-              configurationRefresher::refresh,
+              configuration::confirm,
               milliClock);
       created.start();
       runner = Optional.of(created);
@@ -396,7 +392,7 @@
     ImmutableList.Builder<CollectionWatcher> watchers = ImmutableList.builder();
     ObjectWatchers objectWatchers =
         new ObjectWatchers(platform, loop, LONG_POLL_TIMEOUT, collectionReads::onRead);
-    watchers.add(objectWatchers.of(ObjectKind.CONFIGURATION, this::onConfiguration, name -> {}));
+    watchers.add(objectWatchers.of(ObjectKind.CONFIGURATION, configuration::onChange, name -> {}));
     watchers.add(
         new CollectionWatcher(
             platform,
@@ -435,7 +431,7 @@
     }
     watchers.build().forEach(CollectionWatcher::start);
     new PlatformProbe(
-            () -> noticeConfiguration(platform.probe()),
+            () -> configuration.onProbed(platform.probe()),
             () -> log.add("platform", "lost"),
             () -> {
               log.add("platform", "regained");
@@ -444,77 +440,6 @@
         .start();
   }
 
-  /**
-   * Compares a revision that a probe found with the one in force. If the watch does not report it
-   * within a moment, its answer is lost.
-   */
-  private void noticeConfiguration(long revision) {
-    loop.execute(
-        () -> {
-          if (revision > Math.max(fleet.catalogRevision(), noticedRevision)) {
-            noticedRevision = revision;
-            loop.schedule(
-                () -> catchUp(revision), WATCH_ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-          }
-        });
-  }
-
-  private void catchUp(long revision) {
-    if (fleet.catalogRevision() < revision) {
-      log.add("config", "behind", "revision", revision, "inForce", fleet.catalogRevision());
-      configurationRefresher.refresh();
-      // What else was answered on lost connections is not known either.
-      executor.execute(platform::abortWatches);
-    }
-  }
-
-  private void onConfigurationConfirmed(ObjectPage page, long sinceNanos) {
-    boolean isReadable = true;
-    for (VersionedObject object : page.objects()) {
-      isReadable &= applyConfiguration(object);
-    }
-    if (isReadable) {
-      fleet.confirmCatalog(sinceNanos);
-      log.add(
-          "config",
-          "confirmed",
-          "version",
-          fleet.catalog().map(Catalog::version).orElse(0L),
-          "revision",
-          page.revision());
-    }
-  }
-
-  private void onConfiguration(VersionedObject object) {
-    applyConfiguration(object);
-  }
-
-  /** Returns whether the configuration could be read, whether it is newer or not. */
-  private boolean applyConfiguration(VersionedObject object) {
-    Optional<Catalog> catalog;
-    try {
-      catalog = adapter.decoder().decodeCatalog(object.name(), object.value());
-    } catch (RuntimeException e) {
-      logger.atSevere().withCause(e).log(
-          "host: configuration revision %s is unreadable and is ignored", object.version());
-      log.add("config", "unreadable", "revision", object.version(), "reason", e.getMessage());
-      return false;
-    }
-    if (catalog.isPresent() && fleet.apply(catalog.get(), object.version())) {
-      log.add(
-          "config",
-          "in force",
-          "version",
-          catalog.get().version(),
-          "revision",
-          object.version(),
-          "routes",
-          catalog.get().routes().size());
-      placements.onFleetChanged();
-    }
-    return true;
-  }
-
   private void onDomainDrained(VersionedObject object) {
     if (drainedDomains.add(object.name())) {
       log.add("config", "domain drained", "domain", object.name());
