--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -135,8 +135,12 @@
    * @param current the route; empty if the configuration has none
    */
   void follow(Optional<Route> current) {
-    if (done || isRunning()) {
-      current.ifPresent(found -> route = found);
+    if (done) {
+      return;
+    }
+    current.ifPresent(found -> route = found);
+    if (isRunning()) {
+      suspended = current.isEmpty();
       return;
     }
     if (current.isEmpty()) {
@@ -144,7 +148,6 @@
       releaseSlot(PlacementResult.CANCELLED);
       return;
     }
-    route = current.get();
     boolean moves = demandNumber >= 0 && !selectService().equals(demandedService);
     if (moves) {
       log("moved");
@@ -362,6 +365,7 @@
     @Override
     public void giveUp() {
       if (!ended) {
+        rejections++;
         log("too long");
         discardOutput();
         retryElsewhere(backend, PlacementResult.FAILED);
@@ -383,6 +387,7 @@
       receivedBytes += part.readableBytes();
       if (!continuesStream()) {
         if (receivedBytes > MAX_IGNORED_BYTES) {
+          rejections++;
           log("too long");
           retryElsewhere(backend, PlacementResult.FAILED);
         }
