Read the change again: one piece where it had written a second, no work done twice

No change of behaviour intended. A value's size is counted only when the platform refused it, an item's output is built and judged once, and the sizes of results are derived when an answer is cut instead of kept beside the results.

--- a/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/jobs/RequestJobProgress.java
@@ -43,7 +43,6 @@
   private final RequestJob job;
   private final Map<String, JobItem> items = new LinkedHashMap<>();
   private final List<Result> visible = new ArrayList<>();
-  private final List<Long> visibleBytes = new ArrayList<>();
   private final Set<String> visibleItems = new HashSet<>();
   private final Map<String, Result> outcomes = new LinkedHashMap<>();
   private final Map<String, Integer> failedAttempts = new HashMap<>();
@@ -109,11 +108,12 @@
     ImmutableList.Builder<Result> results = ImmutableList.builder();
     long bytes = 0;
     for (int index = position; index < visible.size(); index++) {
-      bytes += visibleBytes.get(index);
+      Result result = visible.get(index);
+      bytes += answerBytes(result);
       if (index > position && bytes > maxBytes) {
         break;
       }
-      results.add(visible.get(index));
+      results.add(result);
     }
     return results.build();
   }
@@ -137,7 +137,6 @@
     for (Result result : part.results()) {
       if (visibleItems.add(result.item())) {
         visible.add(result);
-        visibleBytes.add(answerBytes(result));
       }
       outcomes.remove(result.item());
     }
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -83,20 +83,15 @@
     this.onDone = checkNotNull(onDone, "onDone");
     this.startNanos = now();
     this.lastEventId = attributes.resumeAfter();
-    this.deadlineNanos = deadlineNanos(route.timeoutMillis());
+    this.deadlineNanos = startNanos + maxNanos(route, attributes);
     this.failover = new Failover(route, startNanos, deadlineNanos);
     this.timeout = scheduleTimeout();
   }
 
   /** Returns the longest time that a request may take, in nanoseconds. */
   static long maxNanos(Route route, RequestAttributes attributes) {
-    long deadlineMillis = attributes.deadlineMillis().orElse(Long.MAX_VALUE);
-    return TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMillis(), deadlineMillis));
-  }
-
-  private long deadlineNanos(long timeoutMillis) {
-    long limitMillis = Math.min(timeoutMillis, attributes.deadlineMillis().orElse(Long.MAX_VALUE));
-    return startNanos + limitMillis * NANOS_IN_MILLI;
+    return NANOS_IN_MILLI
+        * Math.min(route.timeoutMillis(), attributes.deadlineMillis().orElse(Long.MAX_VALUE));
   }
 
   private ScheduledFuture<?> scheduleTimeout() {
@@ -108,7 +103,7 @@
     long limitNanos =
         catalog.routes().stream()
             .filter(found -> found.name().equals(route.name()))
-            .mapToLong(found -> deadlineNanos(found.timeoutMillis()))
+            .mapToLong(found -> startNanos + maxNanos(found, attributes))
             .findFirst()
             .orElse(deadlineNanos);
     if (!done && limitNanos - deadlineNanos > 0) {
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/Ingress.java
@@ -133,14 +133,14 @@
     ready = false;
   }
 
-  /** Returns whether a request that may take the given time is refused, since the host stops. */
-  private boolean refuses(long maxNanos) {
+  /** Refuses a request that may take too long for a host that stops; returns whether it did. */
+  private boolean refuseIfStopping(Response response, long maxNanos) {
     long now = services.nanoClock().getAsLong();
-    return drain.isPresent() && !drain.get().acceptsRequest(maxNanos, now);
-  }
-
-  private static void refuseForShutdown(Response response) {
+    if (drain.isEmpty() || drain.get().acceptsRequest(maxNanos, now)) {
+      return false;
+    }
     response.refuse(ErrorKind.SHUTTING_DOWN, UNAVAILABLE_RETRY_DELAY.toMillis());
+    return true;
   }
 
   /** Ends all requests in progress, with an answer unless their response has begun. */
@@ -370,11 +370,9 @@
     response.requestId = attributes.requestId();
     Optional<JobCall> jobCall = services.dialect().parseJobCall(request);
     if (jobCall.isPresent()) {
-      if (refuses(MAX_JOB_CALL_TIME.toNanos())) {
-        refuseForShutdown(response);
-        return;
+      if (!refuseIfStopping(response, MAX_JOB_CALL_TIME.toNanos())) {
+        handleJobCall(catalog.get(), attributes, jobCall.get(), response);
       }
-      handleJobCall(catalog.get(), attributes, jobCall.get(), response);
       return;
     }
     String path = pathOf(request.uri());
@@ -405,9 +403,9 @@
       return;
     }
     boolean isJob = route.get().requestKind() == Route.RequestKind.BATCH;
-    if (refuses(
-        isJob ? MAX_JOB_CALL_TIME.toNanos() : ForwardedCall.maxNanos(route.get(), attributes))) {
-      refuseForShutdown(response);
+    long maxNanos =
+        isJob ? MAX_JOB_CALL_TIME.toNanos() : ForwardedCall.maxNanos(route.get(), attributes);
+    if (refuseIfStopping(response, maxNanos)) {
       return;
     }
     if (isJob) {
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -129,8 +129,8 @@
   }
 
   /**
-   * Applies the configuration that is in force now. A run at a backend server goes on; what waits
-   * follows the route to its service, and waits without a demand while there is no route.
+   * Applies the configuration in force. A run at a backend server goes on. An item that waits for a
+   * slot asks for one of its route's present service; without a route, it asks for none.
    *
    * @param current the route; empty if the configuration has none
    */
@@ -444,19 +444,8 @@
         rejections++;
         log("unrun");
         retryElsewhere(backend, notRunResult.get());
-      } else if (isWholeOutput() && !runner.canBeWritten(item.id(), output.toString())) {
-        // Another run would be as long; the item waits for its retention.
-        log("too long");
-        releaseSlot(PlacementResult.ANSWERED);
-        done = true;
       } else if (isWholeOutput()) {
-        log("done");
-        releaseSlot(PlacementResult.ANSWERED);
-        done = true;
-        durations.record(totalRunNanos);
-        services.metrics().recordItemTime(progress.job().organisation(), now() - startNanos);
-        progress.recordResult(item.id(), output.toString());
-        runner.endRun(progress, item.id());
+        endWithOutput(output.toString());
       } else if (status == UNPROCESSABLE_STATUS) {
         log("cannot be done");
         releaseSlot(PlacementResult.ANSWERED);
@@ -470,6 +459,21 @@
       }
     }
 
+    private void endWithOutput(String wholeOutput) {
+      boolean canBeWritten = runner.canBeWritten(item.id(), wholeOutput);
+      log(canBeWritten ? "done" : "too long");
+      releaseSlot(PlacementResult.ANSWERED);
+      done = true;
+      if (!canBeWritten) {
+        // Another run would be as long; the item waits for its retention.
+        return;
+      }
+      durations.record(totalRunNanos);
+      services.metrics().recordItemTime(progress.job().organisation(), now() - startNanos);
+      progress.recordResult(item.id(), wholeOutput);
+      runner.endRun(progress, item.id());
+    }
+
     /** Returns whether the run that has ended completed the output. */
     private boolean isWholeOutput() {
       return continuesStream()
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/RequestJobStore.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/RequestJobStore.java
@@ -114,14 +114,19 @@
   /** Creates an object, and lowers the limit if the platform refuses a size that should fit. */
   private WriteOutcome create(ObjectKind kind, String name, String value, int attempts) {
     WriteOutcome outcome = writes.write(kind, name, Platform.ABSENT, value, attempts);
-    long bytes = valueBytes(value);
-    if (outcome.result() == WriteOutcome.Result.TOO_LARGE && bytes <= maxValueBytes) {
-      maxValueBytes = Math.max(MIN_VALUE_BYTES, bytes / 2);
+    if (outcome.result() == WriteOutcome.Result.TOO_LARGE) {
+      lowerLimit(valueBytes(value));
+    }
+    return outcome;
+  }
+
+  private void lowerLimit(long refusedBytes) {
+    if (refusedBytes <= maxValueBytes) {
+      maxValueBytes = Math.max(MIN_VALUE_BYTES, refusedBytes / 2);
       logger.atWarning().log(
           "jobs: platform refused a value of %d bytes as too large; the limit is %d bytes now",
-          bytes, maxValueBytes);
+          refusedBytes, maxValueBytes);
     }
-    return outcome;
   }
 
   /**
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionRefresher.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionRefresher.java
@@ -94,8 +94,7 @@
 
   private void onFailure() {
     endRead();
-    Duration doubled = pause.multipliedBy(2);
-    pause = doubled.compareTo(MAX_PAUSE) < 0 ? doubled : MAX_PAUSE;
+    pause = Backoff.next(pause, MAX_PAUSE);
   }
 
   private void endRead() {
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
@@ -149,8 +149,7 @@
   private Duration backOffAfterOutage(Duration backoff) {
     onOutage.run();
     sleep(backoff);
-    Duration doubled = backoff.multipliedBy(2);
-    return doubled.compareTo(MAX_BACKOFF) < 0 ? doubled : MAX_BACKOFF;
+    return Backoff.next(backoff, MAX_BACKOFF);
   }
 
   private static void sleep(Duration time) {
