--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -220,6 +220,7 @@
     this.services =
         new ForwardServices(
             loop,
+            FailureDomainId.of(settings.failureDomain()),
             fleet,
             placements,
             new BackendConnections(loop, adapter.dialect(), nanoClock),
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Demand.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Demand.java
@@ -24,6 +24,7 @@
  * @param repeated whether the caller was refused before
  * @param excluded backend servers that must not get the work
  * @param promptParts the parts of its prompt that other work may share, in their order
+ * @param profile what else is known about the work
  */
 public record Demand(
     DemandId id,
@@ -35,7 +36,8 @@
     long deadlineNanos,
     boolean repeated,
     Set<BackendServerId> excluded,
-    ImmutableList<PromptPartId> promptParts) {
+    ImmutableList<PromptPartId> promptParts,
+    WorkProfile profile) {
 
   /** Checks the components and copies the set. */
   public Demand {
@@ -44,9 +46,10 @@
     checkNotNull(organisation, "organisation");
     excluded = ImmutableSet.copyOf(excluded);
     checkNotNull(promptParts, "promptParts");
+    checkNotNull(profile, "profile");
   }
 
-  /** Creates a demand whose prompt has no shared parts. */
+  /** Creates a demand whose prompt has no shared parts, and of which nothing else is known. */
   public Demand(
       DemandId id,
       String service,
@@ -67,6 +70,7 @@
         deadlineNanos,
         repeated,
         excluded,
-        ImmutableList.of());
+        ImmutableList.of(),
+        WorkProfile.UNKNOWN);
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -123,10 +123,10 @@
   /**
    * Removes a demand that has ended, whether it was waiting or running.
    *
-   * @param responseBegan whether a backend server began to answer it
+   * @param report what its host saw of the response
    */
   public ImmutableList<Decision> finished(
-      DemandId id, PlacementResult result, boolean responseBegan, long nowNanos) {
+      DemandId id, PlacementResult result, RunReport report, long nowNanos) {
     Demand waited = waiting.remove(id);
     if (waited != null) {
       work(waited.service()).waiting().remove(waited);
@@ -136,7 +136,7 @@
     if (ended == null) {
       return ImmutableList.of();
     }
-    if (responseBegan) {
+    if (report.responseBegan()) {
       quarantine.seenSound(ended.demand().promptParts(), ended.sinceNanos(), nowNanos);
     }
     release(ended);
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -8,8 +8,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
+import org.trefoilbarrow.coordination.dispatch.RunReport;
 import org.trefoilbarrow.state.fleet.BackendServer;
 
 /** One attempt of a caller's request at one backend server: reads the response and reports it. */
@@ -31,6 +33,9 @@
   private boolean impliesNotRun;
   private boolean streaming;
   private boolean responseBegan;
+  private long sentNanos;
+  private OptionalLong firstPartNanos = OptionalLong.empty();
+  private int eventCount;
   private boolean ended;
 
   /** Receives what an attempt reports; exactly one of the calls but the first three ends it. */
@@ -82,13 +87,14 @@
     return backend;
   }
 
-  /** Returns whether the server has sent a part of a successful response to the request. */
-  boolean responseBegan() {
-    return responseBegan;
+  /** Returns what was seen of the response. */
+  RunReport report() {
+    return new RunReport(responseBegan, firstPartNanos, eventCount, false);
   }
 
   /** Sends the request; the connection releases it. */
   void send(FullHttpRequest request) {
+    sentNanos = services.nanoClock().getAsLong();
     cancellation = services.connections().send(backend, request, this);
   }
 
@@ -126,6 +132,7 @@
 
   @Override
   public void onBody(ByteBuf part) {
+    recordFirstPart();
     listener.onProgress(this, streaming);
     if (!streaming) {
       readWholeResponse(part);
@@ -133,6 +140,7 @@
     }
     for (EventStream.Event event : events.append(part)) {
       responseBegan = true;
+      eventCount++;
       listener.onEvent(response.get(), event);
     }
     if (events.isTooLong()) {
@@ -142,6 +150,12 @@
     }
   }
 
+  private void recordFirstPart() {
+    if (firstPartNanos.isEmpty()) {
+      firstPartNanos = OptionalLong.of(services.nanoClock().getAsLong() - sentNanos);
+    }
+  }
+
   private void readWholeResponse(ByteBuf part) {
     if (body.readableBytes() + part.readableBytes() > MAX_RESPONSE_BYTES) {
       giveUp();
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardServices.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.coordination.memory.BufferBudget;
+import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.state.fleet.FleetView;
 import org.trefoilbarrow.transport.link.PlacementClient;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
@@ -11,6 +12,7 @@
  * The services that all forwarded requests and batch items of a host share.
  *
  * @param loop the event loop on which all of them are used
+ * @param domain the failure domain of this host
  * @param fleet the cached state of the fleet
  * @param placements requests slots at backend servers
  * @param connections the pool of connections to backend servers
@@ -23,6 +25,7 @@
  */
 public record ForwardServices(
     EventLoop loop,
+    FailureDomainId domain,
     FleetView fleet,
     PlacementClient placements,
     BackendConnections connections,
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -21,6 +21,8 @@
 import java.util.concurrent.TimeUnit;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.coordination.dispatch.RunReport;
+import org.trefoilbarrow.coordination.dispatch.WorkProfile;
 import org.trefoilbarrow.coordination.failover.Failover;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.ErrorKind;
@@ -167,7 +169,13 @@
             repeated,
             excluded,
             attributes.requestId(),
-            attributes.promptParts());
+            attributes.promptParts(),
+            new WorkProfile(
+                route.name(),
+                Optional.of(services.domain()),
+                attributes.size(),
+                0,
+                attributes.promptPartTokens()));
     Slot slot = new Slot();
     requestedSlot = Optional.of(slot);
     slot.number = services.placements().submit(demand, slot);
@@ -180,7 +188,7 @@
   }
 
   private void withdrawRequest() {
-    requestedSlot.ifPresent(slot -> slot.release(PlacementResult.CANCELLED, false));
+    requestedSlot.ifPresent(slot -> slot.release(PlacementResult.CANCELLED, RunReport.NONE));
     requestedSlot = Optional.empty();
   }
 
@@ -188,8 +196,8 @@
   private final class Slot implements PlacementListener {
     private long number;
 
-    void release(PlacementResult result, boolean responseBegan) {
-      services.placements().finish(number, result, responseBegan);
+    void release(PlacementResult result, RunReport report) {
+      services.placements().finish(number, result, report);
     }
 
     @Override
@@ -353,14 +361,14 @@
 
   /** Cancels the attempt, if one runs, and gives back its slot. */
   private void releaseUsedSlot(PlacementResult result) {
-    boolean responseBegan = attempt.map(BackendAttempt::responseBegan).orElse(false);
+    RunReport report = attempt.map(BackendAttempt::report).orElse(RunReport.NONE);
     attempt.ifPresent(
         current -> {
           current.cancel();
           services.metrics().countPlacement(current.backend().id(), result.name());
         });
     attempt = Optional.empty();
-    usedSlot.ifPresent(slot -> slot.release(result, responseBegan));
+    usedSlot.ifPresent(slot -> slot.release(result, report));
     usedSlot = Optional.empty();
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/HttpDialect.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/HttpDialect.java
@@ -10,6 +10,7 @@
 import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.protocol.RequestJob;
 import org.trefoilbarrow.protocol.RequestJob.JobItem;
+import org.trefoilbarrow.protocol.WorkSize;
 import org.trefoilbarrow.state.fleet.BackendServer;
 
 /**
@@ -51,6 +52,12 @@
   /** Returns the parts of an item's prompt that other work may share, in their order. */
   ImmutableList<PromptPartId> promptParts(JobItem item);
 
+  /** Returns the number of tokens of each of {@link #promptParts}, in their order. */
+  ImmutableList<Integer> promptPartTokens(JobItem item);
+
+  /** Returns the size that an item states. */
+  WorkSize size(JobItem item);
+
   /** Returns whether an item states which of the backend servers may run it. */
   boolean isConditional(JobItem item);
 
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/RequestAttributes.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/RequestAttributes.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.trefoilbarrow.protocol.PromptPartId;
+import org.trefoilbarrow.protocol.WorkSize;
 
 /**
  * The attributes that a caller states in the headers of a request.
@@ -16,6 +17,8 @@
  * @param resumeAfter the identifier of the last event that the caller has received, if it resumes a
  *     stream
  * @param promptParts the parts of the prompt that other requests may share, in their order
+ * @param promptPartTokens the number of tokens of each of these parts
+ * @param size the size that the caller states
  * @param conditional whether the caller states which of the backend servers may run the request
  */
 public record RequestAttributes(
@@ -24,6 +27,8 @@
     OptionalLong deadlineMillis,
     Optional<String> resumeAfter,
     ImmutableList<PromptPartId> promptParts,
+    ImmutableList<Integer> promptPartTokens,
+    WorkSize size,
     boolean conditional) {
   /** Checks the components. */
   public RequestAttributes {
@@ -32,5 +37,7 @@
     checkNotNull(deadlineMillis, "deadlineMillis");
     checkNotNull(resumeAfter, "resumeAfter");
     checkNotNull(promptParts, "promptParts");
+    checkNotNull(promptPartTokens, "promptPartTokens");
+    checkNotNull(size, "size");
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -17,10 +17,13 @@
 import java.util.Base64;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.coordination.dispatch.RunReport;
+import org.trefoilbarrow.coordination.dispatch.WorkProfile;
 import org.trefoilbarrow.coordination.jobs.ItemDurationEstimator;
 import org.trefoilbarrow.coordination.jobs.RequestJobProgress;
 import org.trefoilbarrow.coordination.jobs.RetryPause;
@@ -198,10 +201,20 @@
                     true,
                     excluded,
                     item.id(),
-                    promptParts),
+                    promptParts,
+                    profile()),
                 this);
   }
 
+  private WorkProfile profile() {
+    return new WorkProfile(
+        route.name(),
+        Optional.of(services.domain()),
+        services.dialect().size(item),
+        durations.expectedRemainingNanos(totalRunNanos),
+        services.dialect().promptPartTokens(item));
+  }
+
   private void scheduleRetry() {
     services
         .loop()
@@ -291,7 +304,7 @@
   }
 
   private void releaseSlot(PlacementResult result) {
-    final boolean responseBegan = attempt.isPresent() && attempt.get().responseBegan;
+    RunReport report = attempt.map(Attempt::report).orElse(RunReport.NONE);
     attempt.ifPresent(
         current -> {
           current.cancel();
@@ -300,7 +313,7 @@
         });
     attempt = Optional.empty();
     if (demandNumber >= 0) {
-      services.placements().finish(demandNumber, result, responseBegan);
+      services.placements().finish(demandNumber, result, report);
       demandNumber = -1;
     }
   }
@@ -329,6 +342,8 @@
     private Optional<String> type = Optional.empty();
     private Optional<PlacementResult> notRunResult = Optional.empty();
     private boolean responseBegan;
+    private OptionalLong firstPartNanos = OptionalLong.empty();
+    private int eventCount;
     private long receivedBytes;
     private boolean framed;
     private boolean ended;
@@ -350,6 +365,10 @@
           || nowNanos - sentNanos > RUN_TIMEOUT.plus(STALL_TIMEOUT).toNanos();
     }
 
+    RunReport report() {
+      return new RunReport(responseBegan, firstPartNanos, eventCount, false);
+    }
+
     void cancel() {
       if (!ended) {
         end();
@@ -384,6 +403,9 @@
     @Override
     public void onBody(ByteBuf part) {
       lastProgressNanos = now();
+      if (firstPartNanos.isEmpty()) {
+        firstPartNanos = OptionalLong.of(lastProgressNanos - sentNanos);
+      }
       receivedBytes += part.readableBytes();
       if (!continuesStream()) {
         if (receivedBytes > MAX_IGNORED_BYTES) {
@@ -395,6 +417,7 @@
       }
       for (EventStream.Event event : events.append(part)) {
         responseBegan = true;
+        eventCount++;
         rejections = 0;
         appendEvent(event);
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
@@ -4,14 +4,21 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.trefoilbarrow.coordination.dispatch.Demand;
 import org.trefoilbarrow.coordination.dispatch.DemandId;
+import org.trefoilbarrow.coordination.dispatch.PlacementResult;
+import org.trefoilbarrow.coordination.dispatch.RunReport;
+import org.trefoilbarrow.coordination.dispatch.WorkProfile;
 import org.trefoilbarrow.protocol.BackendServerId;
+import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.OrganisationId;
 import org.trefoilbarrow.protocol.PromptPartId;
+import org.trefoilbarrow.protocol.WorkSize;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
+import org.trefoilbarrow.transport.link.generated.FinishedMessage;
 
 /**
  * Converts demands from and to messages. Messages carry the time that is left, since the monotonic
@@ -48,6 +55,7 @@
     if (!demand.promptParts().isEmpty()) {
       message.setPromptParts(demand.promptParts().stream().map(PromptPartId::value).toList());
     }
+    setProfile(message, demand.profile());
     runningOn.ifPresent(backend -> message.setRunningOn(backend.value()));
     return message;
   }
@@ -70,7 +78,63 @@
         nowNanos + message.getRemainingMillis() * NANOS_IN_MILLI,
         message.isRepeated(),
         excluded,
-        message.isSetPromptParts() ? parts(message.getPromptParts()) : ImmutableList.of());
+        message.isSetPromptParts() ? parts(message.getPromptParts()) : ImmutableList.of(),
+        profileOf(message));
+  }
+
+  private static void setProfile(DemandMessage message, WorkProfile profile) {
+    if (profile.size().isKnown()) {
+      message.setPromptTokens(profile.size().promptTokens());
+      message.setOutputTokens(profile.size().outputTokens());
+    }
+    if (!profile.route().isEmpty()) {
+      message.setRoute(profile.route());
+    }
+    profile.callerDomain().ifPresent(domain -> message.setCallerDomain(domain.value()));
+    if (profile.expectedRunNanos() > 0) {
+      message.setExpectedRunMillis(profile.expectedRunNanos() / NANOS_IN_MILLI);
+    }
+    if (!profile.promptPartTokens().isEmpty()) {
+      message.setPromptPartTokens(profile.promptPartTokens());
+    }
+  }
+
+  private static WorkProfile profileOf(DemandMessage message) {
+    return new WorkProfile(
+        message.isSetRoute() ? message.getRoute() : "",
+        message.isSetCallerDomain()
+            ? Optional.of(FailureDomainId.of(message.getCallerDomain()))
+            : Optional.empty(),
+        new WorkSize(message.getPromptTokens(), message.getOutputTokens()),
+        message.getExpectedRunMillis() * NANOS_IN_MILLI,
+        message.isSetPromptPartTokens()
+            ? ImmutableList.copyOf(message.getPromptPartTokens())
+            : ImmutableList.of());
+  }
+
+  /** Returns the message that ends a demand. */
+  static FinishedMessage finished(long number, PlacementResult result, RunReport report) {
+    FinishedMessage message = new FinishedMessage(number, result.ordinal());
+    message.setResponseBegan(report.responseBegan());
+    report.firstPartNanos().ifPresent(nanos -> message.setFirstPartMillis(nanos / NANOS_IN_MILLI));
+    if (report.outputEvents() > 0) {
+      message.setOutputEvents(report.outputEvents());
+    }
+    if (report.backendLeaving()) {
+      message.setBackendLeaving(true);
+    }
+    return message;
+  }
+
+  /** Returns what a host reports about the response to work that has ended. */
+  static RunReport toReport(FinishedMessage message) {
+    return new RunReport(
+        message.isResponseBegan(),
+        message.isSetFirstPartMillis()
+            ? OptionalLong.of(message.getFirstPartMillis() * NANOS_IN_MILLI)
+            : OptionalLong.empty(),
+        message.getOutputEvents(),
+        message.isBackendLeaving());
   }
 
   /** Returns a demand of this host. */
@@ -85,7 +149,8 @@
         demand.deadlineNanos(),
         demand.repeated(),
         demand.excluded(),
-        demand.promptParts());
+        demand.promptParts(),
+        demand.profile());
   }
 
   /** Returns the prompt parts with the given identifiers. */
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DemandSpec.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DemandSpec.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.Set;
+import org.trefoilbarrow.coordination.dispatch.WorkProfile;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.OrganisationId;
 import org.trefoilbarrow.protocol.PromptPartId;
@@ -23,6 +24,7 @@
  * @param excluded backend servers at which the work must not be placed
  * @param request the request's identifier, for logs
  * @param promptParts the parts of its prompt that other work may share, in their order
+ * @param profile what else is known about the work
  */
 public record DemandSpec(
     String service,
@@ -34,17 +36,19 @@
     boolean repeated,
     Set<BackendServerId> excluded,
     String request,
-    ImmutableList<PromptPartId> promptParts) {
+    ImmutableList<PromptPartId> promptParts,
+    WorkProfile profile) {
   /** Checks the components, and copies those that could change. */
   public DemandSpec {
     checkNotNull(service, "service");
     checkNotNull(organisation, "organisation");
     checkNotNull(request, "request");
     checkNotNull(promptParts, "promptParts");
+    checkNotNull(profile, "profile");
     excluded = ImmutableSet.copyOf(excluded);
   }
 
-  /** Creates a demand whose prompt has no shared parts. */
+  /** Creates a demand whose prompt has no shared parts, and of which nothing else is known. */
   public DemandSpec(
       String service,
       Optional<OrganisationId> organisation,
@@ -65,7 +69,8 @@
         repeated,
         excluded,
         request,
-        ImmutableList.of());
+        ImmutableList.of(),
+        WorkProfile.UNKNOWN);
   }
 
   /** Returns a copy that also excludes the given backend server. */
@@ -80,6 +85,7 @@
         repeated,
         ImmutableSet.<BackendServerId>builder().addAll(excluded).add(backend).build(),
         request,
-        promptParts);
+        promptParts,
+        profile);
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
@@ -251,7 +251,7 @@
             dispatcher.finished(
                 new DemandId(host, finished.getCall()),
                 PlacementResult.values()[finished.getResult()],
-                finished.isResponseBegan(),
+                DemandMessages.toReport(finished),
                 now));
       } else if (message.isSetServerEnd()) {
         quarantine.reported(ServerEndReports.toServerEnd(host, message.getServerEnd(), now), now);
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -22,6 +22,7 @@
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.coordination.dispatch.RunReport;
 import org.trefoilbarrow.coordination.election.DispatchElection;
 import org.trefoilbarrow.coordination.election.ElectionRules;
 import org.trefoilbarrow.coordination.election.TermReport;
@@ -37,7 +38,6 @@
 import org.trefoilbarrow.state.fleet.FleetView;
 import org.trefoilbarrow.transport.forward.EventLog;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
-import org.trefoilbarrow.transport.link.generated.FinishedMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
 import org.trefoilbarrow.transport.link.generated.RefusedMessage;
 
@@ -371,17 +371,17 @@
   /**
    * Ends a demand, whether it waits or runs.
    *
-   * @param responseBegan whether a backend server began to answer
+   * @param report what this host saw of the response
    */
-  public void finish(long number, PlacementResult result, boolean responseBegan) {
+  public void finish(long number, PlacementResult result, RunReport report) {
     Call ended = calls.remove(number);
     if (ended == null) {
       return;
     }
-    if (responseBegan) {
+    if (report.responseBegan()) {
       soundParts.seen(ended.demand.promptParts(), nanoClock.getAsLong());
     }
-    report(number, result, responseBegan);
+    report(number, result, report);
   }
 
   /** Assigns free slots to waiting demands after the fleet has changed. */
@@ -507,7 +507,7 @@
     Call call = calls.get(number);
     if (call == null) {
       // It was refused here after it had been submitted; the slot must not stay in use.
-      report(number, PlacementResult.CANCELLED, false);
+      report(number, PlacementResult.CANCELLED, RunReport.NONE);
       return;
     }
     if (call.backend.isPresent()) {
@@ -518,14 +518,16 @@
       // This host does not know the backend server yet, or knows before the dispatching host that
       // it is leaving, gone or in a drained domain.
       report(
-          number, backend.isPresent() ? PlacementResult.LEAVING : PlacementResult.CANCELLED, false);
+          number,
+          backend.isPresent() ? PlacementResult.LEAVING : PlacementResult.CANCELLED,
+          RunReport.NONE);
       Call retry = new Call(call.demand.excluding(id), call.listener);
       calls.put(number, retry);
       submitToDispatchingHost(number, retry);
       return;
     }
     if (findQuarantined(call.demand.promptParts()).isPresent()) {
-      report(number, PlacementResult.CANCELLED, false);
+      report(number, PlacementResult.CANCELLED, RunReport.NONE);
       refuseQuarantined(number);
       return;
     }
@@ -533,14 +535,13 @@
     call.listener.placed(backend.get());
   }
 
-  private void report(long number, PlacementResult result, boolean responseBegan) {
+  private void report(long number, PlacementResult result, RunReport report) {
     if (dispatchingHost.remote().isPresent()) {
       links.send(
           dispatchingHost.remote().get(),
-          LinkMessage.finished(
-              new FinishedMessage(number, result.ordinal()).setResponseBegan(responseBegan)));
+          LinkMessage.finished(DemandMessages.finished(number, result, report)));
     } else {
-      apply(dispatcher.finished(localId(number), result, responseBegan, nanoClock.getAsLong()));
+      apply(dispatcher.finished(localId(number), result, report, nanoClock.getAsLong()));
     }
   }
 
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -27,6 +27,18 @@
   12: required string request
   /** The parts of the prompt that other work may share, in their order. */
   13: optional list<string> promptParts
+  /** The number of tokens of the prompt, if the request states it. */
+  14: optional i32 promptTokens
+  /** The expected number of tokens of the response, if it is known. */
+  15: optional i32 outputTokens
+  /** The name of the route that the work was requested on. */
+  16: optional string route
+  /** The failure domain of the sender. */
+  17: optional string callerDomain
+  /** How much longer a batch item is expected to run. */
+  18: optional i64 expectedRunMillis
+  /** The number of tokens of each part in promptParts. */
+  19: optional list<i32> promptPartTokens
 }
 
 /** Ends a demand: the call has finished or was cancelled. */
@@ -35,6 +47,12 @@
   2: required i32 result
   /** Whether a backend server began to answer. */
   3: optional bool responseBegan
+  /** The time from sending the request to the first part of its response. */
+  4: optional i64 firstPartMillis
+  /** The number of events of the response. */
+  5: optional i32 outputEvents
+  /** Whether the backend server stated in its response that it is leaving. */
+  6: optional bool backendLeaving
 }
 
 /** Assigns a slot at a backend server to a demand. */
@@ -127,6 +145,13 @@
   5: required map<string, i64> soundAgesMillis
 }
 
+/** Reports that a backend server stated in a response that it is leaving. */
+struct BackendLeavingMessage {
+  1: required string backend
+  /** How long ago the sender received the response. */
+  2: required i64 ageMillis
+}
+
 /** One message on a link; each frame holds one. */
 union LinkMessage {
   1: HelloMessage hello
@@ -139,4 +164,5 @@
   8: JobAnswerMessage jobAnswer
   9: PulseMessage pulse
   10: ServerEndMessage serverEnd
+  11: BackendLeavingMessage backendLeaving
 }
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -148,7 +148,8 @@
         demand.deadlineNanos(),
         demand.repeated(),
         demand.excluded(),
-        ImmutableList.of(PromptPartId.of("first"), part));
+        ImmutableList.of(PromptPartId.of("first"), part),
+        demand.profile());
   }
 
   @Test
@@ -196,7 +197,7 @@
     long now = 10 * SECOND;
     Demand demand = withPart(online(now, 300, false), PromptPartId.of("part"));
     dispatcher.submit(demand, now);
-    dispatcher.finished(demand.id(), PlacementResult.ANSWERED, true, now);
+    dispatcher.finished(demand.id(), PlacementResult.ANSWERED, RunReport.of(true), now);
     quarantine.decide(now);
     assertEquals(quarantine.count(now), 0);
   }
@@ -213,7 +214,8 @@
     assertFalse(revoked.demand().equals(first.id()), "the item that is due last is revoked");
     assertEquals(
         count(
-            dispatcher.finished(revoked.demand(), PlacementResult.CANCELLED, false, MILLI),
+            dispatcher.finished(
+                revoked.demand(), PlacementResult.CANCELLED, RunReport.of(false), MILLI),
             Decision.Placed.class),
         1);
   }
@@ -322,7 +324,7 @@
     backend("a", 4, true, 0);
     Demand demand = online(0, 300, false);
     dispatcher.submit(demand, 0);
-    dispatcher.finished(demand.id(), PlacementResult.REPLACED, false, 0);
+    dispatcher.finished(demand.id(), PlacementResult.REPLACED, RunReport.of(false), 0);
     assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Refused.class), 1);
   }
 
@@ -342,7 +344,7 @@
             true,
             ImmutableSet.of(BackendServerId.of("a")));
     assertEquals(count(dispatcher.submit(retry, 0), Decision.Placed.class), 1);
-    dispatcher.finished(retry.id(), PlacementResult.FAILED, false, 0);
+    dispatcher.finished(retry.id(), PlacementResult.FAILED, RunReport.of(false), 0);
     backend("b", 4, true, 0);
     Decision.Placed placed = (Decision.Placed) dispatcher.submit(retry, 0).get(0);
     assertEquals(placed.backend(), BackendServerId.of("b"));
@@ -359,8 +361,8 @@
       Demand second = online(now, 300, false);
       dispatcher.submit(first, now);
       dispatcher.submit(second, now);
-      dispatcher.finished(first.id(), PlacementResult.REPLACED, false, now);
-      dispatcher.finished(second.id(), PlacementResult.REPLACED, false, now);
+      dispatcher.finished(first.id(), PlacementResult.REPLACED, RunReport.of(false), now);
+      dispatcher.finished(second.id(), PlacementResult.REPLACED, RunReport.of(false), now);
       long beforeEnd = now + pause * SECOND - MILLI;
       assertEquals(
           count(
@@ -370,10 +372,10 @@
     }
     Demand answered = online(now, 300, false);
     assertEquals(count(dispatcher.submit(answered, now), Decision.Placed.class), 1);
-    dispatcher.finished(answered.id(), PlacementResult.ANSWERED, true, now);
+    dispatcher.finished(answered.id(), PlacementResult.ANSWERED, RunReport.of(true), now);
     Demand rejected = online(now, 300, false);
     dispatcher.submit(rejected, now);
-    dispatcher.finished(rejected.id(), PlacementResult.REPLACED, false, now);
+    dispatcher.finished(rejected.id(), PlacementResult.REPLACED, RunReport.of(false), now);
     now += SECOND;
     assertEquals(count(dispatcher.submit(online(now, 300, false), now), Decision.Placed.class), 1);
   }
@@ -384,7 +386,7 @@
     backend("a", 4, true, 0);
     Demand conditional = online(0, 300, false);
     dispatcher.submit(conditional, 0);
-    dispatcher.finished(conditional.id(), PlacementResult.CONDITION_FAILED, false, 0);
+    dispatcher.finished(conditional.id(), PlacementResult.CONDITION_FAILED, RunReport.of(false), 0);
     assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Placed.class), 1);
   }
 
@@ -394,7 +396,7 @@
     backend("a", 4, true, 0);
     Demand declined = online(0, 300, false);
     dispatcher.submit(declined, 0);
-    dispatcher.finished(declined.id(), PlacementResult.LEAVING, false, 0);
+    dispatcher.finished(declined.id(), PlacementResult.LEAVING, RunReport.of(false), 0);
     assertEquals(count(dispatcher.submit(item(0, 60_000), 0), Decision.Placed.class), 0);
     backend("b", 4, true, 0);
     Decision.Placed placed =
@@ -409,7 +411,7 @@
     backend("a", 4, true, 0);
     Demand demand = online(0, 300, false);
     dispatcher.submit(demand, 0);
-    dispatcher.finished(demand.id(), PlacementResult.FAILED, false, 0);
+    dispatcher.finished(demand.id(), PlacementResult.FAILED, RunReport.of(false), 0);
     backend("b", 4, true, 0);
     for (int call = 0; call < 4; call++) {
       Decision.Placed placed = (Decision.Placed) dispatcher.submit(online(0, 300, false), 0).get(0);
@@ -488,7 +490,7 @@
       long now = start + request * MILLI;
       Demand demand = online(now, 300, false);
       placed += count(dispatcher.submit(demand, now), Decision.Placed.class);
-      dispatcher.finished(demand.id(), PlacementResult.ANSWERED, false, now);
+      dispatcher.finished(demand.id(), PlacementResult.ANSWERED, RunReport.of(false), now);
     }
     assertEquals(placed, 20_000);
     assertEquals(dispatcher.waitingCount(), 20_000 - dispatcher.runningCount());
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/PeakReplay.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/PeakReplay.java
@@ -145,12 +145,12 @@
     if (work.placementNumber == placementNumber) {
       itemsDone += work.batch ? 1 : 0;
       itemsOnTime += work.batch && now <= work.objective ? 1 : 0;
-      apply(dispatcher.finished(id, PlacementResult.ANSWERED, false, now), now);
+      apply(dispatcher.finished(id, PlacementResult.ANSWERED, RunReport.of(false), now), now);
     }
   }
 
   private void interrupt(DemandId id, Work work, long now) {
-    apply(dispatcher.finished(id, PlacementResult.CANCELLED, false, now), now);
+    apply(dispatcher.finished(id, PlacementResult.CANCELLED, RunReport.of(false), now), now);
     submit(work, now);
   }
 }
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
@@ -14,6 +14,7 @@
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
+import org.trefoilbarrow.coordination.dispatch.RunReport;
 import org.trefoilbarrow.coordination.dispatch.SlotShare;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
@@ -384,7 +385,7 @@
     if (followed.isEmpty() || isHolderNow()) {
       apply(
           dispatcher.finished(
-              new DemandId(id, number), PlacementResult.ANSWERED, false, nowNanos()));
+              new DemandId(id, number), PlacementResult.ANSWERED, RunReport.of(false), nowNanos()));
     } else {
       SimulatedHost holder = fleet.host(followed.get());
       fleet.send(
@@ -395,7 +396,7 @@
                   holder.dispatcher.finished(
                       new DemandId(id, number),
                       PlacementResult.ANSWERED,
-                      false,
+                      RunReport.of(false),
                       holder.nowNanos())));
     }
   }
--- a/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
@@ -34,6 +34,8 @@
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
+import org.trefoilbarrow.coordination.dispatch.RunReport;
+import org.trefoilbarrow.coordination.dispatch.WorkProfile;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.fleet.Eventually;
@@ -131,7 +133,8 @@
               true,
               ImmutableSet.of(),
               name,
-              promptParts);
+              promptParts,
+              WorkProfile.UNKNOWN);
       return on(() -> placements.submit(demand, listener(decisions, name)));
     }
   }
@@ -296,7 +299,7 @@
 
     callers.on(
         () -> {
-          callers.placements.finish(numbers.get(0), PlacementResult.ANSWERED, false);
+          callers.placements.finish(numbers.get(0), PlacementResult.ANSWERED, RunReport.of(false));
           return true;
         });
     assertEquals(decisions.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "c2 placed");
