Watch the platform through the hosts that dispatch in large fleets

Cause: each host that serves callers watches five collections by itself, so that calls to the platform grow with hosts times changes.

Change: hosts that serve callers send the platform's long poll to a peer that dispatches, which answers from the changes that its own watches returned. Takes effect from peerWatchHosts (16) hosts on.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -137,6 +137,7 @@
   private final FleetMetrics metrics = new FleetMetrics(new MetricRegistry());
   private final PeerAddress self;
   private final PlacementClient placements;
+  private final PlatformWatches watches;
   private final QuarantineStore quarantines;
   private final RequestJobStore jobStore;
   private final RequestJobTable jobTable;
@@ -172,6 +173,7 @@
             settings.address(),
             settings.linkPort(),
             settings.servesCallers(),
+            settings.failureDomain(),
             milliClock.getAsLong());
     PartQuarantine quarantine = new PartQuarantine(QuarantineRules.DEFAULT);
     Dispatcher dispatcher =
@@ -192,6 +194,16 @@
             this::isConnectedToPlatform,
             nanoClock,
             log);
+    this.watches =
+        new PlatformWatches(
+            platform,
+            self,
+            placements,
+            WATCHED_BY_ALL_HOSTS,
+            settings.peerWatchHosts(),
+            loop,
+            metrics,
+            nanoClock);
     this.quarantines =
         new QuarantineStore(
             loop, self.host(), placements, platform, executor, nanoClock, milliClock, log);
@@ -319,14 +331,14 @@
     if (settings.servesCallers()) {
       CallerJobGateway gateway =
           new CallerJobGateway(loop, placements, jobStore, jobTable, executor);
-      placements.setMessageHandler(gateway);
+      placements.setMessageHandler(watches.with(gateway));
       Ingress created = new Ingress(services, gateway, milliClock);
       HostAndPort callers = HostAndPort.fromString(settings.callerAddress());
       HostAndPort readiness = HostAndPort.fromString(settings.readinessAddress());
       created.listen(settings.address(), callers.getPort(), readiness.getPort());
       ingress = Optional.of(created);
     } else {
-      placements.setMessageHandler(new JobReadServer(jobTable));
+      placements.setMessageHandler(watches.with(new JobReadServer(jobTable)));
       JobRunner created =
           new JobRunner(
               services,
@@ -392,11 +404,11 @@
             loop, fleet, adapter.decoder(), log, nanoClock, placements::onFleetChanged);
     ImmutableList.Builder<CollectionWatcher> watchers = ImmutableList.builder();
     ObjectWatchers objectWatchers =
-        new ObjectWatchers(platform, loop, LONG_POLL_TIMEOUT, collectionReads::onRead);
+        new ObjectWatchers(watches.platform(), loop, LONG_POLL_TIMEOUT, collectionReads::onRead);
     watchers.add(objectWatchers.of(ObjectKind.CONFIGURATION, configuration::onChange, name -> {}));
     watchers.add(
         new CollectionWatcher(
-            platform,
+            watches.platform(),
             ObjectKind.BACKEND_SERVER,
             page -> {
               backends.onSnapshot(page);
@@ -432,6 +444,7 @@
     }
     watchers.build().forEach(CollectionWatcher::start);
     new PlatformProbe(
+            watches::probeInterval,
             () -> configuration.onProbed(platform.probe()),
             () -> log.add("platform", "lost"),
             () -> {
@@ -465,12 +478,14 @@
   private void onHostListed(VersionedObject object) {
     peers.put(object.name(), JsonCodec.decode(object.value(), PeerAddress.class));
     log.add("peers", "listed", "host", object.name());
+    watches.setHostCount(peers.size());
     placements.setPeers(peers.values());
   }
 
   private void onHostRemoved(String name) {
     peers.remove(name);
     log.add("peers", "gone", "host", name);
+    watches.setHostCount(peers.size());
     placements.setPeers(peers.values());
   }
 
--- a/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettings.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettings.java
@@ -19,6 +19,8 @@
  * @param platformCallsPerSecond the maximum rate of calls to the platform, in calls per second
  * @param maxObjectBytes the most bytes of one object at the platform; {@link
  *     #DEFAULT_MAX_OBJECT_BYTES} if absent
+ * @param peerWatchHosts the number of registered hosts from which a host that serves callers
+ *     watches the platform through the other hosts; {@link #DEFAULT_PEER_WATCH_HOSTS} if absent
  * @param shutdownSeconds how long the host may take to stop, in seconds
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
@@ -34,12 +36,17 @@
     String platform,
     double platformCallsPerSecond,
     int maxObjectBytes,
+    int peerWatchHosts,
     double shutdownSeconds) {
   /** The most bytes of one object at a platform whose limit is not set. */
   public static final int DEFAULT_MAX_OBJECT_BYTES = 1 << 20;
 
+  /** Below this size, the calls of all hosts' own watches are few. */
+  public static final int DEFAULT_PEER_WATCH_HOSTS = 16;
+
   /** Sets the defaults of absent settings. */
   public FleetHostSettings {
     maxObjectBytes = maxObjectBytes == 0 ? DEFAULT_MAX_OBJECT_BYTES : maxObjectBytes;
+    peerWatchHosts = peerWatchHosts == 0 ? DEFAULT_PEER_WATCH_HOSTS : peerWatchHosts;
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
+++ b/server/src/main/java/org/trefoilbarrow/settings/FleetHostSettingsLoader.java
@@ -66,6 +66,7 @@
     checkPort(errors, source, "/linkPort", settings.linkPort(), 1);
     checkPort(errors, source, "/metricsPort", settings.metricsPort(), 0);
     checkPositive(errors, source, "/platformCallsPerSecond", settings.platformCallsPerSecond());
+    checkPositive(errors, source, "/peerWatchHosts", settings.peerWatchHosts());
     checkPositive(errors, source, "/shutdownSeconds", settings.shutdownSeconds());
     if (settings.maxObjectBytes() < MIN_OBJECT_BYTES) {
       errors.add(
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformProbe.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformProbe.java
@@ -4,6 +4,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.function.Supplier;
 import org.trefoilbarrow.state.PlatformException;
 
 /**
@@ -14,9 +15,13 @@
  */
 public final class PlatformProbe {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration INTERVAL = Duration.ofSeconds(2);
+
+  /** The interval of a host on whose knowledge of the platform no other host depends. */
+  public static final Duration INTERVAL = Duration.ofSeconds(2);
+
   private static final Duration INTERVAL_WHEN_LOST = Duration.ofMillis(400);
 
+  private final Supplier<Duration> interval;
   private final Runnable request;
   private final Runnable onLost;
   private final Runnable onRegained;
@@ -25,11 +30,14 @@
   /**
    * Creates a probe; {@link #start} starts it.
    *
+   * @param interval the time between probes while the platform answers
    * @param request calls the platform, and throws {@link PlatformException} if it does not answer
    * @param onLost runs when the platform stops answering
    * @param onRegained runs when it answers again
    */
-  public PlatformProbe(Runnable request, Runnable onLost, Runnable onRegained) {
+  public PlatformProbe(
+      Supplier<Duration> interval, Runnable request, Runnable onLost, Runnable onRegained) {
+    this.interval = checkNotNull(interval, "interval");
     this.request = checkNotNull(request, "request");
     this.onLost = checkNotNull(onLost, "onLost");
     this.onRegained = checkNotNull(onRegained, "onRegained");
@@ -71,7 +79,7 @@
       lost = false;
       onRegained.run();
     }
-    return INTERVAL;
+    return interval.get();
   }
 
   private Duration reportLost() {
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/WatchRelay.java
@@ -0,0 +1,159 @@
+package org.trefoilbarrow.transport.watch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Maps;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.state.ChangeBatch;
+import org.trefoilbarrow.state.ChangeLog;
+import org.trefoilbarrow.state.ObjectKind;
+import org.trefoilbarrow.transport.link.PlacementClient;
+import org.trefoilbarrow.transport.link.generated.LinkMessage;
+import org.trefoilbarrow.transport.link.generated.WatchMessage;
+
+/**
+ * Serves the watches of other hosts from the changes that this host's own watches returned. While
+ * this host is not sure to hear from the platform, it tells the others to ask the platform
+ * themselves. Except where stated, used only on the event loop's thread.
+ */
+public final class WatchRelay implements PlacementClient.MessageHandler {
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
+  /** The most characters of changes that are kept for one collection. */
+  private static final long MAX_LOG_CHARACTERS = 1 << 20;
+
+  private final EventLoop loop;
+  private final BooleanSupplier connectedToPlatform;
+  private final LongSupplier nanoClock;
+  private final Map<ObjectKind, ChangeLog> logs;
+  private final Map<ObjectKind, List<Waiting>> waiting = new EnumMap<>(ObjectKind.class);
+  private long servedCount;
+
+  /** A watch that waits for a change. */
+  private record Waiting(long number, long afterRevision, long endNanos, Reply reply) {}
+
+  /**
+   * Creates a relay without changes; {@link #start} starts it.
+   *
+   * @param kinds the collections whose watches are served
+   * @param connectedToPlatform whether the platform responded to this host within a time that the
+   *     receivers of changes can bear to be behind
+   */
+  public WatchRelay(
+      EventLoop loop,
+      Collection<ObjectKind> kinds,
+      BooleanSupplier connectedToPlatform,
+      LongSupplier nanoClock) {
+    this.loop = checkNotNull(loop, "loop");
+    this.connectedToPlatform = checkNotNull(connectedToPlatform, "connectedToPlatform");
+    this.nanoClock = checkNotNull(nanoClock, "nanoClock");
+    this.logs = Maps.immutableEnumMap(Maps.toMap(kinds, kind -> new ChangeLog(MAX_LOG_CHARACTERS)));
+  }
+
+  /** Starts to end the watches whose wait is over. */
+  public void start() {
+    loop.scheduleAtFixedRate(
+        this::endDue, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the number of watches that were answered. */
+  public long servedCount() {
+    return servedCount;
+  }
+
+  /** Records that a watch of this host begins. May be called on any thread. */
+  void beginWatch(ObjectKind kind, long afterRevision) {
+    ChangeLog log = logs.get(kind);
+    if (log != null) {
+      log.beginWatch(afterRevision);
+    }
+  }
+
+  /** Records what a watch of this host returned. May be called on any thread. */
+  void append(ObjectKind kind, ChangeBatch batch) {
+    ChangeLog log = logs.get(kind);
+    if (log != null) {
+      log.append(batch);
+      loop.execute(() -> serveWaiting(kind));
+    }
+  }
+
+  /**
+   * Tells the hosts whose watches wait to ask the platform, after a watch of this host has failed.
+   * May be called on any thread.
+   */
+  void endWaiting(ObjectKind kind) {
+    loop.execute(
+        () -> {
+          List<Waiting> ended = waiting.remove(kind);
+          if (ended != null) {
+            ended.forEach(watch -> answer(watch.reply(), watch.number(), Optional.empty()));
+          }
+        });
+  }
+
+  @Override
+  public void received(HostId from, LinkMessage message, Reply reply) {
+    if (!message.isSetWatch()) {
+      return;
+    }
+    WatchMessage watch = message.getWatch();
+    Optional<ObjectKind> kind = WatchMessages.kindOf(watch).filter(logs::containsKey);
+    if (kind.isEmpty()) {
+      answer(reply, watch.getWatch(), Optional.empty());
+      return;
+    }
+    long endNanos =
+        nanoClock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(Math.max(0, watch.getWaitMillis()));
+    Waiting added = new Waiting(watch.getWatch(), watch.getAfterRevision(), endNanos, reply);
+    if (!serve(kind.get(), added)) {
+      waiting.computeIfAbsent(kind.get(), key -> new ArrayList<>()).add(added);
+    }
+  }
+
+  private void serveWaiting(ObjectKind kind) {
+    List<Waiting> watches = waiting.get(kind);
+    if (watches != null) {
+      watches.removeIf(watch -> serve(kind, watch));
+      waiting.remove(kind, ImmutableList.of());
+    }
+  }
+
+  /** Answers a watch if it need not wait; returns whether it was answered. */
+  private boolean serve(ObjectKind kind, Waiting watch) {
+    if (!connectedToPlatform.getAsBoolean()) {
+      answer(watch.reply(), watch.number(), Optional.empty());
+      return true;
+    }
+    Optional<ChangeBatch> batch = logs.get(kind).since(watch.afterRevision());
+    boolean waits =
+        batch.isPresent()
+            && batch.get().changes().isEmpty()
+            && watch.endNanos() - nanoClock.getAsLong() > 0;
+    if (!waits) {
+      answer(watch.reply(), watch.number(), batch);
+    }
+    return !waits;
+  }
+
+  private void endDue() {
+    ImmutableList.copyOf(waiting.keySet()).forEach(this::serveWaiting);
+  }
+
+  private void answer(Reply reply, long number, Optional<ChangeBatch> batch) {
+    servedCount++;
+    reply.send(WatchMessages.result(number, batch));
+  }
+}
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -152,6 +152,29 @@
   2: required i64 ageMillis
 }
 
+/** Watches a collection of the platform through the receiver. */
+struct WatchMessage {
+  1: required i64 watch
+  2: required string collection
+  3: required i64 afterRevision
+  4: required i64 waitMillis
+}
+
+/** A change of an object. */
+struct ObjectChangeMessage {
+  1: required string name
+  2: required i64 version
+  /** The new value; unset if the object was deleted. */
+  3: optional string value
+}
+
+/** Answers a {@link WatchMessage}; without a revision, the receiver has to ask the platform. */
+struct WatchResultMessage {
+  1: required i64 watch
+  2: optional i64 revision
+  3: optional list<ObjectChangeMessage> changes
+}
+
 /** One message on a link; each frame holds one. */
 union LinkMessage {
   1: HelloMessage hello
@@ -165,4 +188,6 @@
   9: PulseMessage pulse
   10: ServerEndMessage serverEnd
   11: BackendLeavingMessage backendLeaving
+  12: WatchMessage watch
+  13: WatchResultMessage watchResult
 }
--- a/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
@@ -81,7 +81,7 @@
 
     Host(String name, boolean servesCallers, EventLoop loop) throws IOException {
       this.loop = loop;
-      self = new PeerAddress(HostId.of(name), "127.0.0.1", freePort(), servesCallers, 1);
+      self = new PeerAddress(HostId.of(name), "127.0.0.1", freePort(), servesCallers, "d", 1);
       PrintStream sink = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
       placements =
           new PlacementClient(
--- a/server/src/test/java/org/trefoilbarrow/transport/platform/PlatformProbeTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/platform/PlatformProbeTest.java
@@ -28,6 +28,7 @@
     List<String> reported = new ArrayList<>();
     PlatformProbe probe =
         new PlatformProbe(
+            () -> PlatformProbe.INTERVAL,
             () -> {
               if (!answering.get()) {
                 throw new PlatformException("no answer", null, false);
@@ -56,6 +57,7 @@
     AtomicBoolean failing = new AtomicBoolean(true);
     PlatformProbe probe =
         new PlatformProbe(
+            () -> PlatformProbe.INTERVAL,
             () -> {
               if (failing.get()) {
                 Throwables.throwIfUnchecked(failure);
