Send all objects to receivers that fell behind, and hold watches back in an outage

Cause: when the platform drops its history, each host reads five collections again; in an outage each host repeats five watches up to once a second.

Change: a peer keeps a copy of each collection that it watches, and answers with all objects when the changes since the receiver's revision are gone. In large fleets watches wait while the probe of the platform fails, for at most 2 s each time.

Tests: WatchesThroughPeersTest, 8 passed: all objects arrive without a call of a host that serves callers; an outage known to the probe takes at most two watches a host.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -446,9 +446,13 @@
     new PlatformProbe(
             watches::probeInterval,
             () -> configuration.onProbed(platform.probe()),
-            () -> log.add("platform", "lost"),
+            () -> {
+              log.add("platform", "lost");
+              watches.setLost(true);
+            },
             () -> {
               log.add("platform", "regained");
+              watches.setLost(false);
               platform.abortWatches();
             })
         .start();
--- a/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
@@ -12,6 +12,7 @@
 import org.trefoilbarrow.transport.link.PlacementClient;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
 import org.trefoilbarrow.transport.platform.PlatformProbe;
+import org.trefoilbarrow.transport.watch.OutageGate;
 import org.trefoilbarrow.transport.watch.PeerWatches;
 import org.trefoilbarrow.transport.watch.RecordedPlatform;
 import org.trefoilbarrow.transport.watch.RelayedPlatform;
@@ -35,6 +36,7 @@
   private final int minHosts;
   private final Platform platform;
   private final PlacementClient.MessageHandler handler;
+  private final OutageGate gate = new OutageGate();
   private volatile int hostCount;
 
   /**
@@ -66,7 +68,7 @@
               nanoClock);
       relay.start();
       metrics.gauge("watches_served_to_peers", relay::servedCount);
-      this.platform = new RecordedPlatform(platform, relay);
+      this.platform = new RecordedPlatform(platform, relay, gate);
       this.handler = relay;
     } else {
       PeerWatches peers =
@@ -79,7 +81,7 @@
               () -> hostCount);
       placements.onPeersChanged(peers::onPeersChanged);
       metrics.gauge("watches_through_peers", peers::relayedCount);
-      this.platform = new RelayedPlatform(platform, peers);
+      this.platform = new RelayedPlatform(platform, peers, gate);
       this.handler = peers;
     }
   }
@@ -105,8 +107,17 @@
     hostCount = count;
   }
 
+  /** Records whether the probe of the platform fails. */
+  void setLost(boolean lost) {
+    gate.setLost(lost && isLargeFleet());
+  }
+
+  private boolean isLargeFleet() {
+    return hostCount >= minHosts;
+  }
+
   /** Returns the interval at which this host probes the platform. */
   Duration probeInterval() {
-    return relays && hostCount >= minHosts ? RELAY_PROBE_INTERVAL : PlatformProbe.INTERVAL;
+    return relays && isLargeFleet() ? RELAY_PROBE_INTERVAL : PlatformProbe.INTERVAL;
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
@@ -20,7 +20,6 @@
 import java.util.function.Supplier;
 import org.trefoilbarrow.coordination.membership.Rendezvous;
 import org.trefoilbarrow.protocol.HostId;
-import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.transport.link.PeerAddress;
 import org.trefoilbarrow.transport.link.PlacementClient;
@@ -57,14 +56,11 @@
     final ObjectKind kind;
     final long afterRevision;
     final Duration wait;
-    final CompletableFuture<Optional<ChangeBatch>> result;
+    final CompletableFuture<WatchAnswer> result;
     Optional<HostId> peer = Optional.empty();
 
     PeerWatch(
-        ObjectKind kind,
-        long afterRevision,
-        Duration wait,
-        CompletableFuture<Optional<ChangeBatch>> result) {
+        ObjectKind kind, long afterRevision, Duration wait, CompletableFuture<WatchAnswer> result) {
       this.kind = kind;
       this.afterRevision = afterRevision;
       this.wait = wait;
@@ -103,10 +99,10 @@
   /**
    * Waits for changes through a peer. May be called on any thread but the event loop's.
    *
-   * @return the changes, or empty if no peer can tell
+   * @return the answer of a peer; {@link WatchAnswer#UNAVAILABLE} if none can tell
    */
-  Optional<ChangeBatch> watch(ObjectKind kind, long afterRevision, Duration wait) {
-    CompletableFuture<Optional<ChangeBatch>> result = new CompletableFuture<>();
+  WatchAnswer watch(ObjectKind kind, long afterRevision, Duration wait) {
+    CompletableFuture<WatchAnswer> result = new CompletableFuture<>();
     PeerWatch watch = new PeerWatch(kind, afterRevision, wait, result);
     loop.execute(() -> begin(watch));
     Duration timeout = wait.plus(FIRST_PEER_TIMEOUT).plus(ANSWER_TIMEOUT);
@@ -117,12 +113,12 @@
           "watch: no peer answered a watch of %s within %d ms; asking the platform",
           kind.collection(), timeout.toMillis());
       loop.execute(() -> watches.values().remove(watch));
-      return Optional.empty();
+      return WatchAnswer.UNAVAILABLE;
     } catch (ExecutionException e) {
       throw new IllegalStateException("the result of a watch is never an exception", e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return Optional.empty();
+      return WatchAnswer.UNAVAILABLE;
     }
   }
 
@@ -131,7 +127,7 @@
     watches.put(number, watch);
     boolean first = begun.add(watch.kind);
     if (!send(number, watch) && !(first && mayGetPeer())) {
-      end(number, Optional.empty());
+      end(number, WatchAnswer.UNAVAILABLE);
     } else if (watch.peer.isEmpty()) {
       loop.schedule(
           () -> endWithoutPeer(number), FIRST_PEER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
@@ -178,7 +174,7 @@
       if (watch.peer.isEmpty()) {
         send(entry.getKey(), watch);
       } else if (!live.contains(watch.peer.get())) {
-        end(entry.getKey(), Optional.empty());
+        end(entry.getKey(), WatchAnswer.UNAVAILABLE);
       }
     }
   }
@@ -186,7 +182,7 @@
   private void endWithoutPeer(long number) {
     PeerWatch watch = watches.get(number);
     if (watch != null && watch.peer.isEmpty()) {
-      end(number, Optional.empty());
+      end(number, WatchAnswer.UNAVAILABLE);
     }
   }
 
@@ -194,16 +190,16 @@
   public void received(HostId from, LinkMessage message, Reply reply) {
     if (message.isSetWatchResult()) {
       WatchResultMessage result = message.getWatchResult();
-      Optional<ChangeBatch> batch = WatchMessages.batchOf(result);
-      relayedCount += batch.isPresent() ? 1 : 0;
-      end(result.getWatch(), batch);
+      WatchAnswer answer = WatchMessages.answerOf(result);
+      relayedCount += answer.equals(WatchAnswer.UNAVAILABLE) ? 0 : 1;
+      end(result.getWatch(), answer);
     }
   }
 
-  private void end(long number, Optional<ChangeBatch> batch) {
+  private void end(long number, WatchAnswer answer) {
     PeerWatch ended = watches.remove(number);
     if (ended != null) {
-      ended.result.complete(batch);
+      ended.result.complete(answer);
     }
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RecordedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RecordedPlatform.java
@@ -15,15 +15,18 @@
 public final class RecordedPlatform implements Platform {
   private final Platform platform;
   private final WatchRelay relay;
+  private final OutageGate gate;
 
   /** Creates a platform that passes what its watches return to the relay. */
-  public RecordedPlatform(Platform platform, WatchRelay relay) {
+  public RecordedPlatform(Platform platform, WatchRelay relay, OutageGate gate) {
     this.platform = checkNotNull(platform, "platform");
     this.relay = checkNotNull(relay, "relay");
+    this.gate = checkNotNull(gate, "gate");
   }
 
   @Override
   public Optional<ChangeBatch> watch(ObjectKind kind, long afterRevision, Duration wait) {
+    gate.await();
     relay.beginWatch(kind, afterRevision);
     try {
       Optional<ChangeBatch> batch = platform.watch(kind, afterRevision, wait);
@@ -52,6 +55,10 @@
 
   @Override
   public ObjectPage list(ObjectKind kind, String prefix, String after, int limit) {
-    return platform.list(kind, prefix, after, limit);
+    ObjectPage page = platform.list(kind, prefix, after, limit);
+    if (prefix.isEmpty()) {
+      relay.addPage(kind, page, after.isEmpty());
+    }
+    return page;
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.ObjectPage;
@@ -17,17 +19,30 @@
 public final class RelayedPlatform implements Platform {
   private final Platform platform;
   private final PeerWatches peers;
+  private final OutageGate gate;
+
+  /** What a peer sent to a watch that fell behind; the next list of the collection returns it. */
+  private final Map<ObjectKind, ObjectPage> snapshots = new ConcurrentHashMap<>();
 
   /** Creates a platform that prefers the watches of peers. */
-  public RelayedPlatform(Platform platform, PeerWatches peers) {
+  public RelayedPlatform(Platform platform, PeerWatches peers, OutageGate gate) {
     this.platform = checkNotNull(platform, "platform");
     this.peers = checkNotNull(peers, "peers");
+    this.gate = checkNotNull(gate, "gate");
   }
 
   @Override
   public Optional<ChangeBatch> watch(ObjectKind kind, long afterRevision, Duration wait) {
-    Optional<ChangeBatch> relayed = peers.watch(kind, afterRevision, wait);
-    return relayed.isPresent() ? relayed : platform.watch(kind, afterRevision, wait);
+    WatchAnswer answer = peers.watch(kind, afterRevision, wait);
+    if (answer instanceof WatchAnswer.Changes changes) {
+      return Optional.of(changes.batch());
+    }
+    if (answer instanceof WatchAnswer.Snapshot snapshot) {
+      snapshots.put(kind, snapshot.page());
+      return Optional.empty();
+    }
+    gate.await();
+    return platform.watch(kind, afterRevision, wait);
   }
 
   @Override
@@ -47,6 +62,10 @@
 
   @Override
   public ObjectPage list(ObjectKind kind, String prefix, String after, int limit) {
-    return platform.list(kind, prefix, after, limit);
+    Optional<ObjectPage> snapshot =
+        prefix.isEmpty() && after.isEmpty()
+            ? Optional.ofNullable(snapshots.remove(kind))
+            : Optional.empty();
+    return snapshot.orElseGet(() -> platform.list(kind, prefix, after, limit));
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/WatchMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/WatchMessages.java
@@ -1,6 +1,5 @@
 package org.trefoilbarrow.transport.watch;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Maps;
 import java.time.Duration;
 import java.util.Arrays;
@@ -9,6 +8,8 @@
 import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ObjectChange;
 import org.trefoilbarrow.state.ObjectKind;
+import org.trefoilbarrow.state.ObjectPage;
+import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
 import org.trefoilbarrow.transport.link.generated.ObjectChangeMessage;
 import org.trefoilbarrow.transport.link.generated.WatchMessage;
@@ -31,33 +32,52 @@
     return Optional.ofNullable(KINDS.get(watch.getCollection()));
   }
 
-  /** Returns the result of a watch; an absent batch tells the receiver to ask the platform. */
-  static LinkMessage result(long number, Optional<ChangeBatch> batch) {
+  /** Returns the result of a watch. */
+  static LinkMessage result(long number, WatchAnswer answer) {
     WatchResultMessage result = new WatchResultMessage(number);
-    batch.ifPresent(
-        found ->
-            result
-                .setRevision(found.revision())
-                .setChanges(found.changes().stream().map(WatchMessages::toMessage).toList()));
+    if (answer instanceof WatchAnswer.Changes changes) {
+      result
+          .setRevision(changes.batch().revision())
+          .setChanges(changes.batch().changes().stream().map(WatchMessages::toMessage).toList());
+    } else if (answer instanceof WatchAnswer.Snapshot snapshot) {
+      result
+          .setRevision(snapshot.page().revision())
+          .setChanges(snapshot.page().objects().stream().map(WatchMessages::toMessage).toList())
+          .setSnapshot(true);
+    }
     return LinkMessage.watchResult(result);
   }
 
+  private static ObjectChangeMessage toMessage(VersionedObject object) {
+    return new ObjectChangeMessage(object.name(), object.version()).setValue(object.value());
+  }
+
   private static ObjectChangeMessage toMessage(ObjectChange change) {
     ObjectChangeMessage message = new ObjectChangeMessage(change.name(), change.version());
     change.value().ifPresent(message::setValue);
     return message;
   }
 
-  static Optional<ChangeBatch> batchOf(WatchResultMessage result) {
+  /** Returns the answer that a result holds. */
+  static WatchAnswer answerOf(WatchResultMessage result) {
     if (!result.isSetRevision()) {
-      return Optional.empty();
+      return WatchAnswer.UNAVAILABLE;
     }
-    return Optional.of(
+    if (result.isSnapshot()) {
+      return new WatchAnswer.Snapshot(
+          new ObjectPage(
+              result.getRevision(),
+              result.getChanges().stream().map(WatchMessages::toObject).toList(),
+              true));
+    }
+    return new WatchAnswer.Changes(
         new ChangeBatch(
             result.getRevision(),
-            result.getChanges().stream()
-                .map(WatchMessages::toChange)
-                .collect(ImmutableList.toImmutableList())));
+            result.getChanges().stream().map(WatchMessages::toChange).toList()));
+  }
+
+  private static VersionedObject toObject(ObjectChangeMessage message) {
+    return new VersionedObject(message.getName(), message.getVersion(), message.getValue());
   }
 
   private static ObjectChange toChange(ObjectChangeMessage message) {
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/WatchRelay.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/WatchRelay.java
@@ -18,7 +18,9 @@
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ChangeLog;
+import org.trefoilbarrow.state.CollectionCopy;
 import org.trefoilbarrow.state.ObjectKind;
+import org.trefoilbarrow.state.ObjectPage;
 import org.trefoilbarrow.transport.link.PlacementClient;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
 import org.trefoilbarrow.transport.link.generated.WatchMessage;
@@ -38,6 +40,7 @@
   private final BooleanSupplier connectedToPlatform;
   private final LongSupplier nanoClock;
   private final Map<ObjectKind, ChangeLog> logs;
+  private final Map<ObjectKind, CollectionCopy> copies;
   private final Map<ObjectKind, List<Waiting>> waiting = new EnumMap<>(ObjectKind.class);
   private long servedCount;
 
@@ -60,6 +63,7 @@
     this.connectedToPlatform = checkNotNull(connectedToPlatform, "connectedToPlatform");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.logs = Maps.immutableEnumMap(Maps.toMap(kinds, kind -> new ChangeLog(MAX_LOG_CHARACTERS)));
+    this.copies = Maps.immutableEnumMap(Maps.toMap(kinds, kind -> new CollectionCopy()));
   }
 
   /** Starts to end the watches whose wait is over. */
@@ -81,10 +85,19 @@
     }
   }
 
+  /** Records a page of a list that this host reads. May be called on any thread. */
+  void addPage(ObjectKind kind, ObjectPage page, boolean first) {
+    CollectionCopy copy = copies.get(kind);
+    if (copy != null) {
+      copy.addPage(page, first);
+    }
+  }
+
   /** Records what a watch of this host returned. May be called on any thread. */
   void append(ObjectKind kind, ChangeBatch batch) {
     ChangeLog log = logs.get(kind);
     if (log != null) {
+      copies.get(kind).apply(batch);
       log.append(batch);
       loop.execute(() -> serveWaiting(kind));
     }
@@ -99,7 +112,7 @@
         () -> {
           List<Waiting> ended = waiting.remove(kind);
           if (ended != null) {
-            ended.forEach(watch -> answer(watch.reply(), watch.number(), Optional.empty()));
+            ended.forEach(watch -> answer(watch.reply(), watch.number(), WatchAnswer.UNAVAILABLE));
           }
         });
   }
@@ -112,7 +125,7 @@
     WatchMessage watch = message.getWatch();
     Optional<ObjectKind> kind = WatchMessages.kindOf(watch).filter(logs::containsKey);
     if (kind.isEmpty()) {
-      answer(reply, watch.getWatch(), Optional.empty());
+      answer(reply, watch.getWatch(), WatchAnswer.UNAVAILABLE);
       return;
     }
     long endNanos =
@@ -134,7 +147,7 @@
   /** Answers a watch if it need not wait; returns whether it was answered. */
   private boolean serve(ObjectKind kind, Waiting watch) {
     if (!connectedToPlatform.getAsBoolean()) {
-      answer(watch.reply(), watch.number(), Optional.empty());
+      answer(watch.reply(), watch.number(), WatchAnswer.UNAVAILABLE);
       return true;
     }
     Optional<ChangeBatch> batch = logs.get(kind).since(watch.afterRevision());
@@ -143,17 +156,32 @@
             && batch.get().changes().isEmpty()
             && watch.endNanos() - nanoClock.getAsLong() > 0;
     if (!waits) {
-      answer(watch.reply(), watch.number(), batch);
+      answer(
+          watch.reply(),
+          watch.number(),
+          batch
+              .<WatchAnswer>map(WatchAnswer.Changes::new)
+              .orElseGet(() -> snapshotAfter(kind, watch.afterRevision())));
     }
     return !waits;
   }
 
+  /** Returns all objects, unless the receiver has newer ones. */
+  private WatchAnswer snapshotAfter(ObjectKind kind, long revision) {
+    return copies
+        .get(kind)
+        .snapshot()
+        .filter(page -> page.revision() >= revision)
+        .<WatchAnswer>map(WatchAnswer.Snapshot::new)
+        .orElse(WatchAnswer.UNAVAILABLE);
+  }
+
   private void endDue() {
     ImmutableList.copyOf(waiting.keySet()).forEach(this::serveWaiting);
   }
 
-  private void answer(Reply reply, long number, Optional<ChangeBatch> batch) {
+  private void answer(Reply reply, long number, WatchAnswer answer) {
     servedCount++;
-    reply.send(WatchMessages.result(number, batch));
+    reply.send(WatchMessages.result(number, answer));
   }
 }
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -173,6 +173,8 @@
   1: required i64 watch
   2: optional i64 revision
   3: optional list<ObjectChangeMessage> changes
+  /** Whether the changes are all objects of the collection, and replace what the receiver has. */
+  4: optional bool snapshot
 }
 
 /** One message on a link; each frame holds one. */
