Send nothing new to a backend server that has stated that it is leaving

Cause: no code read the header Server-Leaving, so a leaving server got new requests, retries, resumed streams and items until its entry at the platform changed; work sent in between was lost when the server ended.

Change: PlatformDialect decodes the header into ResponseAttributes.leaving. BackendConnections passes it on from each sound head, also of one that nobody waits for. LeavingServers keeps the statements by identifier and start; BackendSlots assigns no slot there, PlacementClient.placed declines a slot granted before, and BackendConnections writes nothing on a connection that was still being established. The dispatching host is told by backendLeaving, which now has the start of the server, and so is each next one. Online demands that only leaving servers could take are refused at once. RunReport.backendLeaving is removed: the report precedes the end of the run.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -26,6 +26,7 @@
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.drain.DrainSchedule;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.memory.BufferBudget;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
@@ -174,12 +175,14 @@
             settings.servesCallers(),
             milliClock.getAsLong());
     PartQuarantine quarantine = new PartQuarantine(QuarantineRules.DEFAULT);
+    LeavingServers leavingServers = new LeavingServers();
     Dispatcher dispatcher =
         new Dispatcher(
             fleet,
             DispatchRules.DEFAULT,
             () -> ThreadLocalRandom.current().nextDouble(),
-            quarantine);
+            quarantine,
+            leavingServers);
     this.placements =
         new PlacementClient(
             loop,
@@ -187,6 +190,7 @@
             fleet,
             dispatcher,
             quarantine,
+            leavingServers,
             new TermStore(platform, executor, loop),
             this::canDispatch,
             this::isConnectedToPlatform,
@@ -223,7 +227,8 @@
             FailureDomainId.of(settings.failureDomain()),
             fleet,
             placements,
-            new BackendConnections(loop, adapter.dialect(), nanoClock),
+            new BackendConnections(
+                loop, adapter.dialect(), nanoClock, leavingServers, placements::reportLeaving),
             new ServerEndDetector(loop, nanoClock, placements::reportServerEnd),
             BufferBudget.of((long) (Runtime.getRuntime().maxMemory() * BUFFERED_FRACTION)),
             adapter.dialect(),
@@ -231,6 +236,8 @@
             metrics,
             nanoClock);
     registerGauges(dispatcher, quarantine);
+    metrics.gauge("leaving_backends", leavingServers::count);
+    metrics.gauge("leaving_statements", leavingServers::startCount);
   }
 
   /** Starts all components and registers the host at the platform. */
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.state.fleet.BackendServer;
 import org.trefoilbarrow.state.fleet.FleetView;
@@ -30,15 +31,18 @@
   private final FleetView fleet;
   private final DispatchRules rules;
   private final DoubleSupplier random;
+  private final LeavingServers leaving;
   private final Map<BackendServerId, BackendLoad> loads = new HashMap<>();
   private final Map<String, ImmutableList<BackendServer>> usable = new HashMap<>();
   private long indexedChangeCount = -1;
   private SlotShare share = SlotShare.ALL;
 
-  BackendSlots(FleetView fleet, DispatchRules rules, DoubleSupplier random) {
+  BackendSlots(
+      FleetView fleet, DispatchRules rules, DoubleSupplier random, LeavingServers leaving) {
     this.fleet = checkNotNull(fleet, "fleet");
     this.rules = checkNotNull(rules, "rules");
     this.random = checkNotNull(random, "random");
+    this.leaving = checkNotNull(leaving, "leaving");
   }
 
   /** Sets how many slots of each server may be assigned. */
@@ -63,6 +67,23 @@
     return usable(service).stream().anyMatch(backend -> isCurrent(backend, nowNanos));
   }
 
+  /**
+   * Returns whether all servers that the platform lists as ready for a demand have stated that they
+   * are leaving. Each of them ends soon, so a slot of theirs is not worth waiting for.
+   */
+  boolean areAllLeaving(Demand demand) {
+    boolean found = false;
+    for (BackendServer backend : usable(demand.service())) {
+      if (!demand.excluded().contains(backend.id())) {
+        if (!leaving.isLeaving(backend)) {
+          return false;
+        }
+        found = true;
+      }
+    }
+    return found;
+  }
+
   /** Returns the number of slots of a service that may be assigned, in use or not. */
   int total(String service, long nowNanos) {
     int total = 0;
@@ -148,7 +169,7 @@
   }
 
   private boolean isCurrent(BackendServer backend, long nowNanos) {
-    return !load(backend.id()).isReplaced(nowNanos);
+    return !load(backend.id()).isReplaced(nowNanos) && !leaving.isLeaving(backend);
   }
 
   private boolean isAtColdRateLimit(
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -10,6 +11,7 @@
 import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
@@ -58,13 +60,18 @@
    * @param random supplies numbers from 0 to 1, which spread the retries of callers and break ties
    *     between servers
    * @param quarantine the prompt parts whose demands get no slot
+   * @param leaving the backend servers whose slots are not assigned
    */
   public Dispatcher(
-      FleetView fleet, DispatchRules rules, DoubleSupplier random, PartQuarantine quarantine) {
+      FleetView fleet,
+      DispatchRules rules,
+      DoubleSupplier random,
+      PartQuarantine quarantine,
+      LeavingServers leaving) {
     this.rules = checkNotNull(rules, "rules");
     this.random = checkNotNull(random, "random");
     this.quarantine = checkNotNull(quarantine, "quarantine");
-    this.slots = new BackendSlots(fleet, rules, random);
+    this.slots = new BackendSlots(fleet, rules, random, leaving);
     this.rateLimits = new RateLimits(fleet);
   }
 
@@ -268,7 +275,7 @@
   }
 
   private Optional<Decision> refusal(Demand demand, long nowNanos) {
-    if (!slots.hasServers(demand.service(), nowNanos)) {
+    if (!slots.hasServers(demand.service(), nowNanos) || slots.areAllLeaving(demand)) {
       return Optional.of(
           refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
     }
@@ -314,6 +321,7 @@
     ServiceWork work = work(service);
     WaitingQueue queue = work.waiting();
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
+    refuseUnplaceable(queue, decisions);
     moveLate(queue, decisions, nowNanos);
     int total = slots.total(service, nowNanos);
     int urgentLimit =
@@ -366,6 +374,17 @@
     }
   }
 
+  /** Refuses the online demands that wait for servers all of which are leaving by now. */
+  private void refuseUnplaceable(WaitingQueue queue, ImmutableList.Builder<Decision> decisions) {
+    for (NavigableSet<Demand> demands : ImmutableList.of(queue.online(), queue.late())) {
+      for (Demand demand : ImmutableList.copyOf(Sets.filter(demands, slots::areAllLeaving))) {
+        demands.remove(demand);
+        waiting.remove(demand.id());
+        decisions.add(refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
+      }
+    }
+  }
+
   private void refuseWaiting(Demand demand, ImmutableList.Builder<Decision> decisions) {
     waiting.remove(demand.id());
     decisions.add(refused(demand, RefusalReason.WAITED_TOO_LONG, 0));
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/RunReport.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/RunReport.java
@@ -11,12 +11,10 @@
  * @param firstPartNanos the time from sending the work to the first part of the response, if there
  *     was one
  * @param outputEvents the number of events of the response
- * @param backendLeaving whether the server stated that it is leaving
  */
-public record RunReport(
-    boolean responseBegan, OptionalLong firstPartNanos, int outputEvents, boolean backendLeaving) {
+public record RunReport(boolean responseBegan, OptionalLong firstPartNanos, int outputEvents) {
   /** The report of work whose response did not begin. */
-  public static final RunReport NONE = new RunReport(false, OptionalLong.empty(), 0, false);
+  public static final RunReport NONE = new RunReport(false, OptionalLong.empty(), 0);
 
   /** Checks the components. */
   public RunReport {
@@ -25,6 +23,6 @@
 
   /** Returns a report without measured times. */
   public static RunReport of(boolean responseBegan) {
-    return new RunReport(responseBegan, OptionalLong.empty(), 0, false);
+    return new RunReport(responseBegan, OptionalLong.empty(), 0);
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendAttempt.java
@@ -89,7 +89,7 @@
 
   /** Returns what was seen of the response. */
   RunReport report() {
-    return new RunReport(responseBegan, firstPartNanos, eventCount, false);
+    return new RunReport(responseBegan, firstPartNanos, eventCount);
   }
 
   /** Sends the request; the connection releases it. */
@@ -221,6 +221,14 @@
     }
   }
 
+  @Override
+  public void onNotSent() {
+    if (!ended) {
+      end();
+      listener.onNotRun(this, PlacementResult.LEAVING);
+    }
+  }
+
   @Override
   public void onBroken(boolean sent) {
     if (ended) {
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendConnections.java
@@ -29,6 +29,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.state.fleet.BackendServer;
 
@@ -52,6 +53,8 @@
   private final EventLoop loop;
   private final HttpDialect dialect;
   private final LongSupplier nanoClock;
+  private final LeavingServers leaving;
+  private final LeavingListener leavingListener;
   private final Map<BackendServerId, Deque<Connection>> idle = new HashMap<>();
 
   /** Cancels a request before its response is complete. */
@@ -61,17 +64,35 @@
     void cancel();
   }
 
-  /** Creates an empty pool. */
-  public BackendConnections(EventLoop loop, HttpDialect dialect, LongSupplier nanoClock) {
+  /**
+   * Creates an empty pool.
+   *
+   * @param leaving the backend servers that nothing is sent to
+   * @param leavingListener receives the statements of further ones
+   */
+  public BackendConnections(
+      EventLoop loop,
+      HttpDialect dialect,
+      LongSupplier nanoClock,
+      LeavingServers leaving,
+      LeavingListener leavingListener) {
     this.loop = checkNotNull(loop, "loop");
     this.dialect = checkNotNull(dialect, "dialect");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
+    this.leaving = checkNotNull(leaving, "leaving");
+    this.leavingListener = checkNotNull(leavingListener, "leavingListener");
   }
 
   /** Sends a request to a backend server, on an idle connection if there is one. */
   public Cancellation send(
       BackendServer backend, FullHttpRequest request, BackendResponseHandler handler) {
-    Optional<Connection> reused = takeIdle(backend.id());
+    if (leaving.isLeaving(backend)) {
+      request.release();
+      // Run later, since the handler does not expect an end before this method returns.
+      loop.execute(handler::onNotSent);
+      return () -> {};
+    }
+    Optional<Connection> reused = takeIdle(backend);
     Connection connection = reused.orElseGet(() -> new Connection(backend));
     connection.handler = handler;
     connection.reused = reused.isPresent();
@@ -104,12 +125,14 @@
     idle.values().removeIf(Deque::isEmpty);
   }
 
-  private Optional<Connection> takeIdle(BackendServerId backend) {
-    Deque<Connection> connections = idle.get(backend);
+  private Optional<Connection> takeIdle(BackendServer backend) {
+    Deque<Connection> connections = idle.get(backend.id());
     long now = nanoClock.getAsLong();
     while (connections != null && !connections.isEmpty()) {
       Connection connection = connections.removeLast();
-      if (connection.channel.isActive() && now - connection.reusableUntilNanos < 0) {
+      // An earlier start of the server may still drain at the other end of its connections.
+      boolean sameStart = connection.backend.bornMillis() == backend.bornMillis();
+      if (sameStart && connection.channel.isActive() && now - connection.reusableUntilNanos < 0) {
         return Optional.of(connection);
       }
       connection.channel.close();
@@ -156,13 +179,17 @@
       channel = connecting.channel();
       connecting.addListener(
           done -> {
-            if (done.isSuccess() && !aborted) {
+            // The server may have stated that it is leaving while the connection was established.
+            boolean declined = leaving.isLeaving(backend);
+            if (done.isSuccess() && !aborted && !declined) {
               write(request);
               return;
             }
             ReferenceCountUtil.release(request);
             channel.close();
-            if (!aborted) {
+            if (!aborted && declined) {
+              notifyNotSent();
+            } else if (!aborted) {
               notifyBroken(false);
             }
           });
@@ -182,6 +209,12 @@
       }
     }
 
+    private void notifyNotSent() {
+      BackendResponseHandler finishedHandler = handler;
+      handler = null;
+      finishedHandler.onNotSent();
+    }
+
     private void notifyBroken(boolean requestSent) {
       BackendResponseHandler finishedHandler = handler;
       handler = null;
@@ -200,17 +233,14 @@
     }
 
     private void read(ChannelHandlerContext context, Object message) {
+      Optional<ResponseAttributes> attributes = readAttributes(message);
       if (handler == null || failed) {
         // No request is open on this connection, so the data belongs to none.
         context.close();
         return;
       }
       if (message instanceof HttpResponse response) {
-        if (response.decoderResult().isFailure()) {
-          closeAsBroken(context);
-          return;
-        }
-        if (!readHeaders(response)) {
+        if (attributes.isEmpty() || !readHeaders(response, attributes.get())) {
           closeAsBroken(context);
           return;
         }
@@ -224,17 +254,31 @@
       }
     }
 
+    /**
+     * Returns the attributes of a sound head. A statement that the server is leaving counts in
+     * each, also if no request waits for the response any more.
+     */
+    private Optional<ResponseAttributes> readAttributes(Object message) {
+      if (!(message instanceof HttpResponse response) || response.decoderResult().isFailure()) {
+        return Optional.empty();
+      }
+      ResponseAttributes attributes = dialect.responseAttributes(response);
+      if (attributes.leaving()) {
+        leavingListener.stated(backend, response.status().code());
+      }
+      return Optional.of(attributes);
+    }
+
     /**
      * Reads the status and headers of a response. Returns false if no backend server can have sent
      * it: a success without a signature, or a change of protocol.
      */
-    private boolean readHeaders(HttpResponse response) {
+    private boolean readHeaders(HttpResponse response, ResponseAttributes attributes) {
       if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
         responseIgnored = true;
         // No request asks for another protocol.
         return !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
       }
-      ResponseAttributes attributes = dialect.responseAttributes(response);
       responseIgnored = !isResponseToOpenRequest(attributes);
       keepAlive = HttpUtil.isKeepAlive(response) && isFramed(response);
       idleMillis = attributes.idleMillis();
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendResponseDecoder.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendResponseDecoder.java
@@ -4,12 +4,13 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.util.ReferenceCountUtil;
 
 /**
  * Decodes the responses on a connection to a backend server, one request at a time. Bytes that
- * arrive while no request is open belong to no response, so they close the connection; they would
- * become the beginning of the next response otherwise. Used only on the event loop's thread.
+ * arrive while no request is open belong to no response that anyone waits for, so the connection is
+ * closed after them; they would become the beginning of the next response otherwise. The head among
+ * them is decoded nevertheless, since it may state that the server is leaving. Used only on the
+ * event loop's thread.
  */
 final class BackendResponseDecoder extends HttpResponseDecoder {
   private boolean requestIsOpen;
@@ -32,12 +33,11 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object received) throws Exception {
-    if (requestIsOpen) {
-      super.channelRead(context, received);
-      return;
+    boolean belongsToRequest = requestIsOpen;
+    super.channelRead(context, received);
+    if (!belongsToRequest) {
+      context.close();
     }
-    ReferenceCountUtil.release(received);
-    context.close();
   }
 
   @Override
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/BackendResponseHandler.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/BackendResponseHandler.java
@@ -18,6 +18,11 @@
   /** Called when the response is complete. */
   void onEnd();
 
+  /**
+   * Called when the request was not sent, since the backend server has stated that it is leaving.
+   */
+  void onNotSent();
+
   /**
    * Called when the response is lost or cannot be completed.
    *
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ResponseAttributes.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ResponseAttributes.java
@@ -13,6 +13,7 @@
  * @param impliesNotRun whether callers take the status for the statement that the request did not
  *     run and never will
  * @param misdirected whether the backend server states that the request is meant for another one
+ * @param leaving whether the backend server states that it is leaving
  * @param idleMillis how long the server keeps an idle connection open; 0 if unknown
  */
 public record ResponseAttributes(
@@ -21,6 +22,7 @@
     boolean notRun,
     boolean impliesNotRun,
     boolean misdirected,
+    boolean leaving,
     long idleMillis) {
 
   /**
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -366,7 +366,7 @@
     }
 
     RunReport report() {
-      return new RunReport(responseBegan, firstPartNanos, eventCount, false);
+      return new RunReport(responseBegan, firstPartNanos, eventCount);
     }
 
     void cancel() {
@@ -522,6 +522,15 @@
       }
     }
 
+    @Override
+    public void onNotSent() {
+      if (!ended) {
+        end();
+        log("unrun");
+        retryElsewhere(backend, PlacementResult.LEAVING);
+      }
+    }
+
     @Override
     public void onBroken(boolean sent) {
       end();
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
@@ -120,9 +120,6 @@
     if (report.outputEvents() > 0) {
       message.setOutputEvents(report.outputEvents());
     }
-    if (report.backendLeaving()) {
-      message.setBackendLeaving(true);
-    }
     return message;
   }
 
@@ -133,8 +130,7 @@
         message.isSetFirstPartMillis()
             ? OptionalLong.of(message.getFirstPartMillis() * NANOS_IN_MILLI)
             : OptionalLong.empty(),
-        message.getOutputEvents(),
-        message.isBackendLeaving());
+        message.getOutputEvents());
   }
 
   /** Returns a demand of this host. */
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.coordination.dispatch.Decision;
@@ -31,6 +32,7 @@
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.transport.link.generated.BackendLeavingMessage;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
 import org.trefoilbarrow.transport.link.generated.FinishedMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
@@ -56,6 +58,7 @@
   private final Heartbeats heartbeats;
   private final LongSupplier nanoClock;
   private final Consumer<ImmutableList<Decision>> decisions;
+  private final BiConsumer<HostId, BackendLeavingMessage> onBackendLeaving;
   private final Runnable onClientsChanged;
   private final Map<HostId, ClientHandler> clients = new HashMap<>();
   private final Set<HostId> followers = new HashSet<>();
@@ -65,6 +68,7 @@
    * Creates a server that does not listen yet.
    *
    * @param decisions carries out the decisions of the dispatcher
+   * @param onBackendLeaving receives what hosts report about servers that are leaving
    * @param onClientsChanged runs whenever a host has connected or is lost
    */
   DispatchServer(
@@ -76,6 +80,7 @@
       Heartbeats heartbeats,
       LongSupplier nanoClock,
       Consumer<ImmutableList<Decision>> decisions,
+      BiConsumer<HostId, BackendLeavingMessage> onBackendLeaving,
       Runnable onClientsChanged) {
     this.loop = checkNotNull(loop, "loop");
     this.self = checkNotNull(self, "self");
@@ -85,6 +90,7 @@
     this.heartbeats = checkNotNull(heartbeats, "heartbeats");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.decisions = checkNotNull(decisions, "decisions");
+    this.onBackendLeaving = checkNotNull(onBackendLeaving, "onBackendLeaving");
     this.onClientsChanged = checkNotNull(onClientsChanged, "onClientsChanged");
   }
 
@@ -255,6 +261,8 @@
                 now));
       } else if (message.isSetServerEnd()) {
         quarantine.reported(ServerEndReports.toServerEnd(host, message.getServerEnd(), now), now);
+      } else if (message.isSetBackendLeaving()) {
+        onBackendLeaving.accept(host, message.getBackendLeaving());
       } else {
         messageHandler.received(host, message, context::writeAndFlush);
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -26,6 +26,7 @@
 import org.trefoilbarrow.coordination.election.DispatchElection;
 import org.trefoilbarrow.coordination.election.ElectionRules;
 import org.trefoilbarrow.coordination.election.TermReport;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineChange;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
@@ -37,6 +38,7 @@
 import org.trefoilbarrow.state.fleet.BackendServer;
 import org.trefoilbarrow.state.fleet.FleetView;
 import org.trefoilbarrow.transport.forward.EventLog;
+import org.trefoilbarrow.transport.link.generated.BackendLeavingMessage;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
 import org.trefoilbarrow.transport.link.generated.RefusedMessage;
@@ -77,6 +79,7 @@
   private final SlotShares shares;
   private final List<Runnable> onPeersChanged = new ArrayList<>();
   private final ServerEndReports serverEnds = new ServerEndReports();
+  private final LeavingServerReports leavingServers;
   private final SoundParts soundParts = new SoundParts(QuarantineRules.DEFAULT.maxSoundParts());
   private QuarantineListener quarantineListener = change -> {};
   private MessageHandler messageHandler = MessageHandler.NONE;
@@ -115,6 +118,7 @@
    *
    * @param quarantine the prompt parts that keep work from all backend servers, as {@code
    *     dispatcher} uses it
+   * @param leaving the backend servers that are leaving, as {@code dispatcher} uses it
    * @param canDispatch whether this host accepts the work of others and knows the backend servers
    */
   public PlacementClient(
@@ -123,6 +127,7 @@
       FleetView fleet,
       Dispatcher dispatcher,
       PartQuarantine quarantine,
+      LeavingServers leaving,
       TermStore terms,
       BooleanSupplier canDispatch,
       BooleanSupplier connectedToPlatform,
@@ -135,6 +140,7 @@
     this.quarantine = checkNotNull(quarantine, "quarantine");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.log = checkNotNull(log, "log");
+    this.leavingServers = new LeavingServerReports(self.host(), leaving, log);
     this.election = new DispatchElection(self.host(), self.startedMillis(), ElectionRules.DEFAULT);
     this.claimer =
         new TermClaimer(election, terms, canDispatch, connectedToPlatform, nanoClock, log);
@@ -156,6 +162,7 @@
             heartbeats,
             nanoClock,
             this::apply,
+            this::receiveLeaving,
             this::updateShares);
     this.shares = new SlotShares(self, fleet, dispatcher, server);
   }
@@ -194,6 +201,7 @@
       updateShares();
     }
     decideQuarantines(now);
+    leavingServers.removeEnded(fleet, now);
     apply(dispatcher.tick(now));
   }
 
@@ -258,6 +266,32 @@
     submitServerEnd(end, nanoClock.getAsLong());
   }
 
+  /**
+   * Records that a backend server stated in a response that it is leaving, and reports it to the
+   * dispatching host, and to each next one.
+   *
+   * @param status the status of the response
+   */
+  public void reportLeaving(BackendServer backend, int status) {
+    long now = nanoClock.getAsLong();
+    leavingServers.stated(
+        backend,
+        status,
+        now,
+        message ->
+            dispatchingHost
+                .remote()
+                .ifPresentOrElse(
+                    host -> links.send(host, message), () -> apply(dispatcher.tick(now))));
+  }
+
+  private void receiveLeaving(HostId host, BackendLeavingMessage message) {
+    long now = nanoClock.getAsLong();
+    if (leavingServers.reported(host, message, now)) {
+      apply(dispatcher.tick(now));
+    }
+  }
+
   /** Adopts a quarantine that another host decided on. */
   public void adoptQuarantine(PromptPartId part, long durationNanos, long remainingNanos) {
     long now = nanoClock.getAsLong();
@@ -416,13 +450,18 @@
     leaveDispatchingHost(next);
     dispatchingHost = next;
     shares.onDispatchingHostChanged(next, nanoClock.getAsLong());
-    next.remote().ifPresent(host -> links.send(host, LinkMessage.hello(links.hello())));
+    long now = nanoClock.getAsLong();
+    next.remote()
+        .ifPresent(
+            host -> {
+              links.send(host, LinkMessage.hello(links.hello()));
+              leavingServers.reportAll(now, message -> links.send(host, message));
+            });
     if (next.isSelf()) {
       server.announce();
     }
     ImmutableList.copyOf(calls.entrySet())
         .forEach(entry -> submitToDispatchingHost(entry.getKey(), entry.getValue()));
-    long now = nanoClock.getAsLong();
     serverEnds.recent(now).forEach(end -> submitServerEnd(end, now));
   }
 
@@ -514,7 +553,9 @@
       return;
     }
     Optional<BackendServer> backend = fleet.backend(id);
-    if (backend.filter(fleet::isUsable).isEmpty()) {
+    if (backend
+        .filter(found -> fleet.isUsable(found) && !leavingServers.isLeaving(found))
+        .isEmpty()) {
       // This host does not know the backend server yet, or knows before the dispatching host that
       // it is leaving, gone or in a drained domain.
       report(
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -150,6 +150,8 @@
   1: required string backend
   /** How long ago the sender received the response. */
   2: required i64 ageMillis
+  /** When the server started, in milliseconds since the epoch; unset if unknown. */
+  3: optional i64 bornMillis
 }
 
 /** One message on a link; each frame holds one. */
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/DispatcherTest.java
@@ -15,6 +15,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
+import org.trefoilbarrow.coordination.leaving.LeavingStatement;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.coordination.quarantine.ServerEnd;
@@ -38,6 +40,7 @@
 
   private FleetView fleet;
   private PartQuarantine quarantine;
+  private LeavingServers leaving;
   private Dispatcher dispatcher;
   private long nextCall;
 
@@ -46,8 +49,10 @@
     fleet = new FleetView();
     nextCall = 0;
     quarantine = new PartQuarantine(QuarantineRules.DEFAULT);
+    leaving = new LeavingServers();
     dispatcher =
-        new Dispatcher(fleet, DispatchRules.DEFAULT, new Random(7)::nextDouble, quarantine);
+        new Dispatcher(
+            fleet, DispatchRules.DEFAULT, new Random(7)::nextDouble, quarantine, leaving);
     apply(0, 10);
   }
 
@@ -406,6 +411,66 @@
     assertEquals(count(dispatcher.submit(item(0, 60_000), 2 * SECOND), Decision.Placed.class), 1);
   }
 
+  private void stateLeaving(String id, long now) {
+    leaving.add(new LeavingStatement(BackendServerId.of(id), 0, HostId.of("h"), now));
+  }
+
+  /** Demands stayed in the queue of a service whose servers all left, and were refused late. */
+  @Test
+  public void tick_refusesWhatWaitsAtOnceWhenAllServersStateThatTheyAreLeaving() {
+    backend("a", 1, true, 0);
+    backend("b", 1, true, 0);
+    Demand running = online(0, 300, false);
+    dispatcher.submit(running, 0);
+    dispatcher.submit(online(0, 300, false), 0);
+    dispatcher.submit(online(0, 3000, true), 0);
+    Demand item = item(0, 60_000);
+    dispatcher.submit(item, 0);
+    stateLeaving("a", 0);
+    assertEquals(count(dispatcher.tick(MILLI), Decision.Refused.class), 0);
+    stateLeaving("b", 0);
+    ImmutableList<Decision> decisions = dispatcher.tick(2 * MILLI);
+    assertEquals(decisions.size(), 1);
+    Decision.Refused refused = (Decision.Refused) decisions.get(0);
+    assertEquals(refused.reason(), RefusalReason.NO_BACKEND);
+    assertTrue(refused.retryAfterMillis() > 0);
+    assertEquals(dispatcher.waitingCount(), 1);
+    // What runs there ends normally, and its slot goes to no other work.
+    assertEquals(dispatcher.runningCount(), 2);
+    assertEquals(
+        dispatcher
+            .finished(running.id(), PlacementResult.ANSWERED, RunReport.of(true), 3 * MILLI)
+            .size(),
+        0);
+    backend("c", 4, true, 0);
+    Decision.Placed placed = (Decision.Placed) dispatcher.tick(4 * MILLI).get(0);
+    assertEquals(placed, new Decision.Placed(item.id(), BackendServerId.of("c")));
+  }
+
+  @Test
+  public void submit_placesNothingAtAServerThatStatedThatItIsLeaving() {
+    backend("a", 4, true, 0);
+    stateLeaving("a", 0);
+    assertEquals(count(dispatcher.submit(online(0, 300, false), 0), Decision.Refused.class), 1);
+    // Unlike a host's report by a declined placement, the statement of the server still holds.
+    long later = 10 * SECOND;
+    assertEquals(
+        count(dispatcher.submit(online(later, 300, true), later), Decision.Refused.class), 1);
+    assertEquals(count(dispatcher.submit(item(later, 60_000), later), Decision.Placed.class), 0);
+  }
+
+  /** A retry waited for a server that was leaving, since the other one had failed it. */
+  @Test
+  public void submit_refusesAtOnceWhatOnlyALeavingServerCouldTake() {
+    backend("a", 4, true, 0);
+    backend("b", 4, true, 0);
+    stateLeaving("a", 0);
+    Decision.Refused refused =
+        (Decision.Refused) dispatcher.submit(online(0, 300, true, "b"), 0).get(0);
+    assertEquals(refused.reason(), RefusalReason.NO_BACKEND);
+    assertEquals(count(dispatcher.submit(online(0, 300, true), 0), Decision.Placed.class), 1);
+  }
+
   @Test
   public void submit_prefersServersThatDidNotFail() {
     backend("a", 4, true, 0);
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
@@ -16,6 +16,7 @@
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
 import org.trefoilbarrow.coordination.dispatch.RunReport;
 import org.trefoilbarrow.coordination.dispatch.SlotShare;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.protocol.BackendServerId;
@@ -74,7 +75,8 @@
             view,
             DispatchRules.DEFAULT,
             random::nextDouble,
-            new PartQuarantine(QuarantineRules.DEFAULT));
+            new PartQuarantine(QuarantineRules.DEFAULT),
+            new LeavingServers());
     fleet.queue().after(random.nextLong(TICK_MILLIS), this::tick);
     fleet.queue().after(random.nextLong(HEARTBEAT_MILLIS), this::sendHeartbeats);
   }
--- a/server/src/test/java/org/trefoilbarrow/transport/link/DemandMessagesTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/DemandMessagesTest.java
@@ -59,7 +59,7 @@
   @DataProvider
   public Object[][] reports() {
     return new Object[][] {
-      {RunReport.NONE}, {new RunReport(true, OptionalLong.of(12 * MILLI), 19, true)},
+      {RunReport.NONE}, {new RunReport(true, OptionalLong.of(12 * MILLI), 19)},
     };
   }
 
--- a/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
@@ -36,6 +37,7 @@
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
 import org.trefoilbarrow.coordination.dispatch.RunReport;
 import org.trefoilbarrow.coordination.dispatch.WorkProfile;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.fleet.Eventually;
@@ -70,8 +72,9 @@
     final FleetView fleet = new FleetView();
     final AtomicBoolean connectedToPlatform = new AtomicBoolean(true);
     final PartQuarantine quarantine = new PartQuarantine(QuarantineRules.DEFAULT);
+    final LeavingServers leaving = new LeavingServers();
     final Dispatcher dispatcher =
-        new Dispatcher(fleet, DispatchRules.DEFAULT, () -> 0.5, quarantine);
+        new Dispatcher(fleet, DispatchRules.DEFAULT, () -> 0.5, quarantine, leaving);
     final PeerAddress self;
     final PlacementClient placements;
 
@@ -90,6 +93,7 @@
               fleet,
               dispatcher,
               quarantine,
+              leaving,
               new TermStore(platform, platformCalls, loop),
               () -> !servesCallers,
               connectedToPlatform::get,
@@ -351,6 +355,103 @@
     assertTrue(decisions.isEmpty(), "unexpected decisions: " + decisions);
   }
 
+  private BackendServer server(Host host) {
+    return host.on(() -> host.fleet.backend(BackendServerId.of("b")).orElseThrow());
+  }
+
+  private static boolean isKnownLeaving(Host host) {
+    return host.leaving.count() == 1 && host.dispatcher.runningCount() == 0;
+  }
+
+  private void stateLeaving(Host host) {
+    BackendServer server = server(host);
+    host.on(
+        () -> {
+          host.placements.reportLeaving(server, 503);
+          return true;
+        });
+  }
+
+  private static DemandSpec demand(boolean batch, boolean repeated) {
+    return new DemandSpec(
+        "s",
+        Optional.empty(),
+        0,
+        batch,
+        System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS),
+        System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS),
+        repeated,
+        ImmutableSet.of(),
+        "c",
+        ImmutableList.of(),
+        WorkProfile.UNKNOWN);
+  }
+
+  /** Each row: whether the work is a batch item, whether it is sent again, and who dispatches. */
+  @DataProvider
+  public Object[][] grants() {
+    return new Object[][] {
+      {false, false, true}, {false, true, true}, {true, true, true},
+      {false, false, false}, {false, true, false}, {true, true, false}
+    };
+  }
+
+  /** A placement that was granted before the statement was sent to the server after it. */
+  @Test(dataProvider = "grants")
+  public void grantedPlacementIsNotSentAfterTheStatement(
+      boolean batch, boolean repeated, boolean remote) throws Exception {
+    Host callers = new Host("callers", true);
+    Host first = new Host("a-jobs", false);
+    if (remote) {
+      registerAll(List.of(first, callers));
+      awaitDispatchedBy(first, callers);
+    }
+    BlockingQueue<String> decisions = new LinkedBlockingQueue<>();
+    BackendServer server = server(callers);
+    callers.on(
+        () -> {
+          // The grant, or the message with it, is handled after this task.
+          callers.placements.submit(demand(batch, repeated), listener(decisions, "c"));
+          callers.placements.reportLeaving(server, 503);
+          return true;
+        });
+    if (batch) {
+      Host holder = remote ? first : callers;
+      Eventually.that(
+          "the item waits for another server",
+          () -> holder.on(() -> holder.dispatcher.waitingCount() == 1 && isKnownLeaving(holder)));
+      assertTrue(decisions.isEmpty(), "unexpected decisions: " + decisions);
+    } else {
+      assertEquals(decisions.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "c refused");
+    }
+  }
+
+  /** Each host sent requests to a leaving server until it had seen its statement itself. */
+  @Test
+  public void statementIsReportedToTheDispatchingHostAndToTheNextOne() throws Exception {
+    Host first = new Host("a-jobs", false);
+    Host second = new Host("b-jobs", false);
+    Host callers = new Host("callers", true);
+    Host others = new Host("others", true);
+    registerAll(List.of(first, second, callers, others));
+    List<Host> candidates = new ArrayList<>(List.of(first, second));
+    Host dispatching = awaitDispatchingHost(candidates, callers);
+    awaitDispatchedBy(dispatching, others);
+    stateLeaving(callers);
+    Eventually.that(
+        "the dispatching host knows", () -> dispatching.on(dispatching.leaving::count) == 1);
+    BlockingQueue<String> decisions = new LinkedBlockingQueue<>();
+    others.submit(decisions, "c0");
+    assertEquals(decisions.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "c0 refused");
+    leave(dispatching);
+    candidates.remove(dispatching);
+    Host next = awaitDispatchingHost(candidates, callers);
+    awaitDispatchedBy(next, others);
+    Eventually.that("the next one knows", () -> next.on(next.leaving::count) == 1);
+    others.submit(decisions, "c1");
+    assertEquals(decisions.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "c1 refused");
+  }
+
   @Test
   public void onlyHostsThatShareCallersDispatcherMayStartDeferrableWork() throws Exception {
     Host first = new Host("a-jobs", false);
