Remove FinishedMessage.backendLeaving, which no host sends

The statement is reported from the head of the response by BackendLeavingMessage; the end of the demand comes later, for a stream by seconds. Field 6 was not in use by any release.

--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -51,8 +51,6 @@
   4: optional i64 firstPartMillis
   /** The number of events of the response. */
   5: optional i32 outputEvents
-  /** Whether the backend server stated in its response that it is leaving. */
-  6: optional bool backendLeaving
 }
 
 /** Assigns a slot at a backend server to a demand. */
