--- a/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
@@ -407,9 +407,16 @@
       awaitDispatchedBy(first, callers);
     }
     BlockingQueue<String> decisions = new LinkedBlockingQueue<>();
+    // Such work is granted a slot before the statement.
+    long granted =
+        callers.on(
+            () ->
+                callers.placements.submit(demand(batch, repeated), listener(decisions, "before")));
+    assertEquals(decisions.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), "before placed");
     BackendServer server = server(callers);
     callers.on(
         () -> {
+          callers.placements.finish(granted, PlacementResult.ANSWERED, RunReport.of(true));
           // The grant, or the message with it, is handled after this task.
           callers.placements.submit(demand(batch, repeated), listener(decisions, "c"));
           callers.placements.reportLeaving(server, 503);
