--- a/server/src/main/java/org/trefoilbarrow/transport/link/LeavingServerReports.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/LeavingServerReports.java
@@ -36,11 +36,11 @@
   }
 
   /**
-   * Records a statement that this host received. Returns the message to the dispatching host if it
-   * is the first one of this start of the server.
+   * Records a statement that this host received.
    *
    * @param status the status of the response
-   * @param report receives the message
+   * @param report receives the message to the dispatching host, if it is the first statement of
+   *     this start of the server
    */
   void stated(BackendServer backend, int status, long nowNanos, Consumer<LinkMessage> report) {
     LeavingStatement statement =
