--- a/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
@@ -82,6 +82,22 @@
         profileOf(message));
   }
 
+  /** Returns a demand of this host. */
+  static Demand toDemand(DemandId id, DemandSpec demand) {
+    return new Demand(
+        id,
+        demand.service(),
+        demand.organisation(),
+        demand.priority(),
+        demand.batch(),
+        demand.objectiveNanos(),
+        demand.deadlineNanos(),
+        demand.repeated(),
+        demand.excluded(),
+        demand.promptParts(),
+        demand.profile());
+  }
+
   private static void setProfile(DemandMessage message, WorkProfile profile) {
     if (profile.size().isKnown()) {
       message.setPromptTokens(profile.size().promptTokens());
@@ -120,9 +136,6 @@
     if (report.outputEvents() > 0) {
       message.setOutputEvents(report.outputEvents());
     }
-    if (report.backendLeaving()) {
-      message.setBackendLeaving(true);
-    }
     return message;
   }
 
@@ -133,24 +146,7 @@
         message.isSetFirstPartMillis()
             ? OptionalLong.of(message.getFirstPartMillis() * NANOS_IN_MILLI)
             : OptionalLong.empty(),
-        message.getOutputEvents(),
-        message.isBackendLeaving());
-  }
-
-  /** Returns a demand of this host. */
-  static Demand toDemand(DemandId id, DemandSpec demand) {
-    return new Demand(
-        id,
-        demand.service(),
-        demand.organisation(),
-        demand.priority(),
-        demand.batch(),
-        demand.objectiveNanos(),
-        demand.deadlineNanos(),
-        demand.repeated(),
-        demand.excluded(),
-        demand.promptParts(),
-        demand.profile());
+        message.getOutputEvents());
   }
 
   /** Returns the prompt parts with the given identifiers. */
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -51,8 +51,6 @@
   4: optional i64 firstPartMillis
   /** The number of events of the response. */
   5: optional i32 outputEvents
-  /** Whether the backend server stated in its response that it is leaving. */
-  6: optional bool backendLeaving
 }
 
 /** Assigns a slot at a backend server to a demand. */
@@ -150,6 +148,8 @@
   1: required string backend
   /** How long ago the sender received the response. */
   2: required i64 ageMillis
+  /** When the server started, in milliseconds since the epoch; unset if unknown. */
+  3: optional i64 bornMillis
 }
 
 /** Watches a collection of the platform through the receiver. */
