Serve online requests at all servers while there is no dispatching host

Change: the dispatcher of such a host has the scope OWN_HOST. It takes the less loaded of two random servers by its own placements, with at most the slots of each server in progress, prefers servers that did not reject, and starts no batch items. Fractions of rates and of cold limits, attempts and at-most-once runs are as before. A dispatching host with some followers keeps its part (SlotShare.ofDispatchingHost).

Tests that stated the former bound: - FleetSimulation.checkSlots allowed slots + max(unknown runs, own shares of hosts outside). It now allows the hosts with the dispatching host exactly the slots, without an allowance, and each other host the slots. - SlotShareTest checked that the shares of ofOneHost, which is removed, add up to the slots.

--- a/models/terms.pml
+++ b/models/terms.pml
@@ -5,9 +5,9 @@
  * Claims are read, written on condition, applied late, and may lose their answers; placements and
  * reports cross changes of the dispatching host; candidates restart. Heartbeats carry terms.
  *
- * Left out: the slots of a host that reaches no dispatching host, which are its own part, and hosts
- * that do not report within the window of a new holder; the simulation of the real code
- * (DispatchElectionTest) has both. When a candidate claims a term is a matter of stability, not of safety.
+ * Left out: a host that reaches no dispatching host, which uses all slots beside the others and takes
+ * the rejections of servers as backpressure, and hosts that do not report within the window of a new
+ * holder; the simulation of the real code (DispatchElectionTest) has both. When a candidate claims a term is a matter of stability, not of safety.
  *
  * Each macro removes one protecting rule; models/check expects an error with each of them:
  *   CLAIM_WITHOUT_CONDITION, GRANT_WITHOUT_TERM, NO_REPORT, GRANT_BEFORE_REPORTS,
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -34,6 +34,7 @@
   private final Map<String, ImmutableList<BackendServer>> usable = new HashMap<>();
   private long indexedChangeCount = -1;
   private SlotShare share = SlotShare.ALL;
+  private PlacementScope scope = PlacementScope.ALL_HOSTS;
 
   BackendSlots(FleetView fleet, DispatchRules rules, DoubleSupplier random) {
     this.fleet = checkNotNull(fleet, "fleet");
@@ -46,6 +47,11 @@
     share = newShare;
   }
 
+  /** Sets whose work the slots are assigned to. */
+  void setScope(PlacementScope newScope) {
+    scope = newScope;
+  }
+
   BackendLoad load(BackendServerId id) {
     return loads.computeIfAbsent(id, key -> new BackendLoad());
   }
@@ -94,18 +100,16 @@
    */
   Optional<BackendServer> choose(Demand demand, double fraction, long nowNanos) {
     Set<BackendServerId> excluded = excludedServers(demand, nowNanos);
+    if (scope == PlacementScope.OWN_HOST) {
+      return chooseBetweenTwo(demand, excluded, fraction, nowNanos);
+    }
     BackendServer best = null;
     double bestScore = Double.MAX_VALUE;
     for (BackendServer backend : usable(demand.service())) {
-      if (!isCurrent(backend, nowNanos) || excluded.contains(backend.id())) {
+      if (!isEligible(backend, excluded, fraction, nowNanos)) {
         continue;
       }
       BackendLoad load = load(backend.id());
-      if (load.running() >= share.slotsOf(backend)
-          || load.isReportedLeaving(nowNanos, rules.leavingReportValidity())
-          || isAtColdRateLimit(backend, load, fraction, nowNanos)) {
-        continue;
-      }
       double score =
           (double) load.running() / backend.slots() + random.getAsDouble() * MAX_TIE_BREAK;
       if (load.isPenalised(nowNanos)) {
@@ -119,6 +123,36 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Chooses by the load that this host has placed. A server that rejected work goes last: its own
+   * queue is full.
+   */
+  private Optional<BackendServer> chooseBetweenTwo(
+      Demand demand, Set<BackendServerId> excluded, double fraction, long nowNanos) {
+    ImmutableList<BackendServer> eligible =
+        usable(demand.service()).stream()
+            .filter(backend -> isEligible(backend, excluded, fraction, nowNanos))
+            .collect(ImmutableList.toImmutableList());
+    ImmutableList<BackendServer> accepting =
+        eligible.stream()
+            .filter(backend -> !load(backend.id()).isPenalised(nowNanos))
+            .collect(ImmutableList.toImmutableList());
+    return TwoRandomChoices.choose(
+        accepting.isEmpty() ? eligible : accepting,
+        backend -> (double) load(backend.id()).running() / backend.slots(),
+        random);
+  }
+
+  private boolean isEligible(
+      BackendServer backend, Set<BackendServerId> excluded, double fraction, long nowNanos) {
+    BackendLoad load = load(backend.id());
+    return isCurrent(backend, nowNanos)
+        && !excluded.contains(backend.id())
+        && load.running() < share.slotsOf(backend)
+        && !load.isReportedLeaving(nowNanos, rules.leavingReportValidity())
+        && !isAtColdRateLimit(backend, load, fraction, nowNanos);
+  }
+
   /**
    * Returns the servers that a demand must not be placed at. An item goes back to a server that
    * failed it if there is no other; without that, it would wait for one for ever.
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -48,6 +48,7 @@
   private final Map<DemandId, Demand> waiting = new HashMap<>();
   private final Map<String, ServiceWork> services = new HashMap<>();
   private final Map<HostId, Long> lostHosts = new HashMap<>();
+  private PlacementScope scope = PlacementScope.ALL_HOSTS;
 
   /** The work of one service. */
   private record ServiceWork(WaitingQueue waiting, RunningWork running) {}
@@ -78,6 +79,12 @@
     slots.setShare(checkNotNull(share, "share"));
   }
 
+  /** Sets whose work this dispatcher places. */
+  public void setScope(PlacementScope newScope) {
+    scope = checkNotNull(newScope, "newScope");
+    slots.setScope(newScope);
+  }
+
   /** Submits a demand, which is placed, refused or kept waiting. A known demand is ignored. */
   public ImmutableList<Decision> submit(Demand demand, long nowNanos) {
     if (waiting.containsKey(demand.id()) || running.containsKey(demand.id())) {
@@ -316,6 +323,7 @@
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
     moveLate(queue, decisions, nowNanos);
     int total = slots.total(service, nowNanos);
+    boolean startsItems = scope == PlacementScope.ALL_HOSTS;
     int urgentLimit =
         queue.online().isEmpty()
             ? Integer.MAX_VALUE
@@ -323,7 +331,7 @@
     place(
         service,
         queue.urgentItems(nowNanos, rules.urgencyWindow().toNanos()),
-        urgentLimit,
+        startsItems ? urgentLimit : 0,
         0,
         decisions,
         nowNanos);
@@ -331,9 +339,10 @@
     interrupt(queue.online().size(), work.running(), urgentSlots(total), decisions);
     if (queue.online().isEmpty()) {
       int reserve = (int) Math.ceil(total * rules.onlineReserveFraction());
-      placeAll(service, queue.timelyItems(nowNanos), reserve, decisions, nowNanos);
+      int itemLimit = startsItems ? Integer.MAX_VALUE : 0;
+      place(service, queue.timelyItems(nowNanos), itemLimit, reserve, decisions, nowNanos);
       placeAll(service, queue.late(), 0, decisions, nowNanos);
-      placeAll(service, queue.lateItems(nowNanos), reserve, decisions, nowNanos);
+      place(service, queue.lateItems(nowNanos), itemLimit, reserve, decisions, nowNanos);
     }
     return decisions.build();
   }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/SlotShare.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/SlotShare.java
@@ -2,18 +2,15 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
-import com.google.common.collect.ImmutableList;
-import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.Map;
-import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.state.fleet.BackendServer;
 
 /** How many slots of each backend server a dispatcher may assign. */
 @FunctionalInterface
 public interface SlotShare {
-  /** All slots: the share of the dispatching host. */
+  /**
+   * All slots: the share of the dispatching host, and of a host without one, which does not count
+   * the work of other hosts.
+   */
   SlotShare ALL = BackendServer::slots;
 
   /** Returns the number of slots of a backend server that may be assigned. */
@@ -41,57 +38,4 @@
     double fraction = (followers + 1.0) / (otherHosts + 1);
     return backend -> (int) (backend.slots() * fraction);
   }
-
-  /**
-   * Returns the share of one of several hosts that dispatch for themselves. The slots of a service
-   * are dealt out one by one, so that all shares together are the slots of the service. A host gets
-   * at least one slot of each service, even if there are more hosts than slots.
-   *
-   * @param backends the backend servers that all hosts know
-   * @param index the index of the host among the hosts, from 0
-   * @param hostCount the number of hosts
-   */
-  static SlotShare ofOneHost(Collection<BackendServer> backends, int index, int hostCount) {
-    checkArgument(
-        index >= 0 && index < hostCount, "index must be from 0 to %s: %s", hostCount - 1, index);
-    Map<BackendServerId, Integer> slots = new HashMap<>();
-    Map<String, Long> dealt = new HashMap<>();
-    for (BackendServer backend : sorted(backends)) {
-      long first =
-          dealt.merge(backend.service(), (long) backend.slots(), Long::sum) - backend.slots();
-      slots.put(backend.id(), countDealt(first, backend.slots(), index, hostCount));
-    }
-    dealt.forEach(
-        (service, count) -> {
-          if (index >= count && count > 0) {
-            slots.put(serverOfSlot(backends, service, index % count), 1);
-          }
-        });
-    return backend -> slots.getOrDefault(backend.id(), 0);
-  }
-
-  private static ImmutableList<BackendServer> sorted(Collection<BackendServer> backends) {
-    return ImmutableList.sortedCopyOf(
-        Comparator.comparing((BackendServer backend) -> backend.id().value()), backends);
-  }
-
-  /** Counts the numbers from {@code first} on, {@code count} of them, dealt to one host. */
-  private static int countDealt(long first, int count, int index, int hostCount) {
-    int offset = Math.floorMod(index - first, hostCount);
-    return offset >= count ? 0 : (count - offset - 1) / hostCount + 1;
-  }
-
-  private static BackendServerId serverOfSlot(
-      Collection<BackendServer> backends, String service, long slot) {
-    long first = 0;
-    for (BackendServer backend : sorted(backends)) {
-      if (backend.service().equals(service)) {
-        first += backend.slots();
-        if (slot < first) {
-          return backend.id();
-        }
-      }
-    }
-    throw new IllegalArgumentException("slot must be below " + first + ": " + slot);
-  }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/package-info.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/package-info.java
@@ -5,8 +5,8 @@
  * <p>Read first: {@link org.trefoilbarrow.coordination.dispatch.Dispatcher}, then {@link
  * org.trefoilbarrow.coordination.dispatch.Demand} and {@link
  * org.trefoilbarrow.coordination.dispatch.Decision}. One host, the dispatching host, places the
- * work of all hosts; a host that can't reach it places its own work within its part of the slots
- * and of each limit ({@link org.trefoilbarrow.coordination.dispatch.SlotShare}). Times are readings
- * of the host's monotonic clock, in nanoseconds.
+ * work of all hosts; a host that can't reach it places its own online work within its part of each
+ * limit ({@link org.trefoilbarrow.coordination.dispatch.PlacementScope}). Times are readings of the
+ * host's monotonic clock, in nanoseconds.
  */
 package org.trefoilbarrow.coordination.dispatch;
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -46,9 +46,9 @@
  *
  * <p>The dispatching host is the holder of the newest term that this host knows, while this host
  * reaches it; see {@link DispatchElection}. While it reaches none, the host dispatches for itself,
- * with its part of the slots and of each limit. When the dispatching host changes, waiting demands
- * are submitted to the new one and running work is reported to it. Used only on the event loop's
- * thread.
+ * with its part of each limit, and takes the rejections of backend servers as backpressure. When
+ * the dispatching host changes, waiting demands are submitted to the new one and running work is
+ * reported to it. Used only on the event loop's thread.
  */
 public final class PlacementClient {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
@@ -157,7 +157,7 @@
             nanoClock,
             this::apply,
             this::updateShares);
-    this.shares = new SlotShares(self, fleet, dispatcher, server);
+    this.shares = new SlotShares(self, dispatcher, server);
   }
 
   /** Starts the client; a host that does not serve callers also starts to accept links. */
--- a/server/src/main/java/org/trefoilbarrow/transport/link/SlotShares.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/SlotShares.java
@@ -7,29 +7,29 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
+import org.trefoilbarrow.coordination.dispatch.PlacementScope;
 import org.trefoilbarrow.coordination.dispatch.SlotShare;
 import org.trefoilbarrow.coordination.election.ElectionRules;
 import org.trefoilbarrow.protocol.HostId;
-import org.trefoilbarrow.state.fleet.FleetView;
 
 /**
- * Sets which part of the slots and limits the dispatcher of this host may use, so that all hosts
- * together stay within them. Used only on the event loop's thread.
+ * Sets which part of the slots and limits the dispatcher of this host may use. All hosts together
+ * stay within the limits, and those with a dispatching host within the slots. A host without one
+ * may use all slots for online work: the servers queue or reject what is too much. Used only on the
+ * event loop's thread.
  */
 final class SlotShares {
   private static final Duration REPORT_WINDOW = ElectionRules.DEFAULT.reportWindow();
 
   private final PeerAddress self;
-  private final FleetView fleet;
   private final Dispatcher dispatcher;
   private final DispatchServer server;
   private final Set<HostId> callerHosts = new HashSet<>();
   private int otherHostCount;
   private long changedNanos;
 
-  SlotShares(PeerAddress self, FleetView fleet, Dispatcher dispatcher, DispatchServer server) {
+  SlotShares(PeerAddress self, Dispatcher dispatcher, DispatchServer server) {
     this.self = checkNotNull(self, "self");
-    this.fleet = checkNotNull(fleet, "fleet");
     this.dispatcher = checkNotNull(dispatcher, "dispatcher");
     this.server = checkNotNull(server, "server");
   }
@@ -64,6 +64,7 @@
     int count = Math.max(1, callerHosts.size());
     long followers = Math.max(1, Math.min(count, server.countFollowers(callerHosts)));
     dispatcher.setFraction(followers / (double) count);
+    dispatcher.setScope(PlacementScope.ALL_HOSTS);
     dispatcher.setSlotShare(
         SlotShare.ofDispatchingHost(
             server.followerCount(),
@@ -77,13 +78,8 @@
       dispatcher.setSlotShare(SlotShare.NONE);
       return;
     }
-    int count = callerHosts.size() + 1;
-    int index =
-        (int)
-            callerHosts.stream()
-                .filter(host -> host.value().compareTo(self.host().value()) < 0)
-                .count();
-    dispatcher.setFraction(1.0 / count);
-    dispatcher.setSlotShare(SlotShare.ofOneHost(fleet.backends(), index, count));
+    dispatcher.setFraction(1.0 / (callerHosts.size() + 1));
+    dispatcher.setScope(PlacementScope.OWN_HOST);
+    dispatcher.setSlotShare(SlotShare.ALL);
   }
 }
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/SlotShareTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/SlotShareTest.java
@@ -2,7 +2,6 @@
 
 import static org.testng.Assert.assertEquals;
 
-import com.google.common.collect.ImmutableList;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.trefoilbarrow.protocol.BackendServerId;
@@ -10,32 +9,43 @@
 import org.trefoilbarrow.state.fleet.BackendServer;
 
 public final class SlotShareTest {
-  private static final int HOST_COUNT = 3;
+  private static final int OTHER_HOSTS = 9;
 
-  private static BackendServer backend(String id, int slots) {
+  private static BackendServer backend(int slots) {
     return new BackendServer(
-        BackendServerId.of(id), "s", "10.0.0.1", 80, FailureDomainId.of("d"), slots, true, 0);
+        BackendServerId.of("a"), "s", "10.0.0.1", 80, FailureDomainId.of("d"), slots, true, 0);
   }
 
   @DataProvider
-  public Object[][] slotCounts() {
+  public Object[][] followers() {
     return new Object[][] {
-      {4, 5, 6},
-      {Integer.MAX_VALUE, Integer.MAX_VALUE, 3},
-      {Integer.MAX_VALUE, Integer.MAX_VALUE, Integer.MAX_VALUE}
+      {0, false, 1},
+      {0, true, 1},
+      {4, true, 5},
+      {5, false, 6},
+      {5, true, 10},
+      {8, false, 9},
+      {9, false, 10},
     };
   }
 
+  /** Guards against slots assigned twice: by a dispatching host that some hosts do not follow. */
+  @Test(dataProvider = "followers")
+  public void dispatchingHostAssignsThePartOfItsFollowers(
+      int followers, boolean reportsOverdue, int tenths) {
+    SlotShare share = SlotShare.ofDispatchingHost(followers, OTHER_HOSTS, reportsOverdue);
+    assertEquals(share.slotsOf(backend(10)), tenths);
+  }
+
+  @DataProvider
+  public Object[][] slotCounts() {
+    return new Object[][] {{1}, {8}, {Integer.MAX_VALUE}};
+  }
+
+  /** Guards against requests that are refused for want of a dispatching host. */
   @Test(dataProvider = "slotCounts")
-  public void ofOneHost_sharesOfAllHostsAreTheSlotsOfEachServer(int first, int second, int third) {
-    ImmutableList<BackendServer> backends =
-        ImmutableList.of(backend("a", first), backend("b", second), backend("c", third));
-    for (BackendServer backend : backends) {
-      long dealt = 0;
-      for (int index = 0; index < HOST_COUNT; index++) {
-        dealt += SlotShare.ofOneHost(backends, index, HOST_COUNT).slotsOf(backend);
-      }
-      assertEquals(dealt, backend.slots(), "slots dealt of " + backend);
-    }
+  public void hostWithoutADispatchingHostUsesAllSlots(int slots) {
+    assertEquals(SlotShare.ALL.slotsOf(backend(slots)), slots);
+    assertEquals(SlotShare.NONE.slotsOf(backend(slots)), 0);
   }
 }
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/FleetSimulation.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/FleetSimulation.java
@@ -22,8 +22,9 @@
 
 /**
  * A fleet of hosts that elect a dispatching host and place calls, on a simulated clock, network and
- * platform. Checks at each placement that no term has two holders, and that the calls at a backend
- * server stay within its slots and the shares of hosts that the dispatching host does not reach.
+ * platform. Checks that no term has two holders, and at each placement that the calls at a backend
+ * server stay within its slots: those of all hosts that the dispatching host reaches together, and
+ * those of each other host.
  */
 final class FleetSimulation {
   static final String SERVICE = "models";
@@ -258,29 +259,30 @@
     queue.after(OBSERVATION_MILLIS, this::observe);
   }
 
-  /** Checks the calls that run at a backend server after one was placed there. */
+  /**
+   * Checks the calls that run at a backend server after one was placed there: those of all hosts
+   * that the dispatching host reaches stay within its slots, and so do those of each other host.
+   */
   void checkSlots(BackendServer backend) {
-    int running = 0;
-    int unknown = 0;
-    int shares = 0;
-    int outside = 0;
+    int inside = 0;
     for (SimulatedHost host : hosts.values()) {
       int count = host.countRunningAt(backend.id());
-      running += count;
       Long since = outsideMillis.get(host.id);
       if (since != null && queue.nowMillis() - since <= LONGEST_RUN_MILLIS) {
-        outside++;
-        unknown += count;
-        shares += host.ownShare().slotsOf(backend);
+        assertWithinSlots(count, backend, host.id + " without the dispatching host");
+      } else {
+        inside += count;
       }
     }
-    int minorityShare = outside == 0 ? 0 : backend.slots() * (outside + 1) / hostCount;
-    int allowed = backend.slots() + Math.max(unknown, shares + minorityShare);
+    assertWithinSlots(inside, backend, "the hosts with the dispatching host");
+  }
+
+  private void assertWithinSlots(int running, BackendServer backend, String hosts) {
     assertTrue(
-        running <= allowed,
+        running <= backend.slots(),
         String.format(
-            "at %d ms %d calls run at %s, allowed are %d with %d hosts outside",
-            queue.nowMillis(), running, backend.id(), allowed, outside));
+            "at %d ms %d calls of %s run at %s, allowed are %d",
+            queue.nowMillis(), running, hosts, backend.id(), backend.slots()));
   }
 
   /** Checks that all live hosts follow the holder, in its term. */
--- a/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/election/SimulatedHost.java
@@ -14,6 +14,7 @@
 import org.trefoilbarrow.coordination.dispatch.DispatchRules;
 import org.trefoilbarrow.coordination.dispatch.Dispatcher;
 import org.trefoilbarrow.coordination.dispatch.PlacementResult;
+import org.trefoilbarrow.coordination.dispatch.PlacementScope;
 import org.trefoilbarrow.coordination.dispatch.RunReport;
 import org.trefoilbarrow.coordination.dispatch.SlotShare;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
@@ -49,7 +50,6 @@
   private Optional<HostId> followed = Optional.empty();
   private long followedTerm;
   private long followedSinceMillis;
-  private Optional<SlotShare> ownShare = Optional.empty();
   private boolean claiming;
   private boolean ended;
   private long pausedUntilMillis;
@@ -260,29 +260,18 @@
 
   private void updateShares() {
     if (isHolderNow()) {
+      dispatcher.setScope(PlacementScope.ALL_HOSTS);
       dispatcher.setSlotShare(
           SlotShare.ofDispatchingHost(
               followers.size(),
               fleet.hostCount() - 1,
               now() - followedSinceMillis >= ElectionRules.DEFAULT.reportWindow().toMillis()));
     } else if (followed.isEmpty()) {
-      dispatcher.setSlotShare(ownShare());
+      dispatcher.setScope(PlacementScope.OWN_HOST);
+      dispatcher.setSlotShare(servesCallers ? SlotShare.ALL : SlotShare.NONE);
     }
   }
 
-  /** Returns the share of this host while it reaches no dispatching host. */
-  SlotShare ownShare() {
-    if (ownShare.isEmpty()) {
-      ownShare =
-          Optional.of(
-              servesCallers
-                  ? SlotShare.ofOneHost(
-                      fleet.backends(), fleet.callers().indexOf(this), fleet.callers().size())
-                  : SlotShare.NONE);
-    }
-    return ownShare.get();
-  }
-
   /** The connection from this host to a peer that can dispatch was lost. */
   void loseConnectionTo(SimulatedHost peer) {
     lastPeerHeartbeats.remove(peer.id);
