Serve waiting requests by fair shares of organisations, and refuse by their own queues

Cause: waiting requests were ordered by priority and objective over all organisations, and refused by the length of that one queue. One hot organisation made the requests of all others late or refused.

Change: - FairQueue and FairLevel: start-time fair queueing by organisation within a priority. The cost is the expected slot time by tokens (SlotTimes), the weight the organisation's rate, and the mean rate for those without. - WorkProfile.caller (DemandMessage 20) names the organisation also for retries and items, which are charged to no rate. Thrift code regenerated. - ServedShares: a route, a failure domain of callers, or the large requests of a route that is served less than 0.95 as often as its organisations goes first within them and is not refused by the wait. - Refusals: the wait is that of the organisation's own queue, at the rate at which that was served of late, or at its fair share. Nobody is refused while a slot is free or can be freed, also past the objective. - ReturnTimes: callers return one after the other, at half the rate of the organisation's slots after its queue, within the third of the remaining time that they honour.

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Decision.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Decision.java
@@ -1,5 +1,6 @@
 package org.trefoilbarrow.coordination.dispatch;
 
+import java.util.Optional;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.protocol.BackendServerId;
 
@@ -23,9 +24,16 @@
    * @param demand the demand
    * @param reason why it was refused
    * @param retryAfterMillis the time after which the caller may try again
+   * @param queue the queue that was too long, if that is the reason
    */
-  record Refused(DemandId demand, RefusalReason reason, long retryAfterMillis)
-      implements Decision {}
+  record Refused(
+      DemandId demand, RefusalReason reason, long retryAfterMillis, Optional<QueueState> queue)
+      implements Decision {
+    /** Creates a refusal for another reason than a queue. */
+    public Refused(DemandId demand, RefusalReason reason, long retryAfterMillis) {
+      this(demand, reason, retryAfterMillis, Optional.empty());
+    }
+  }
 
   /**
    * The demand gets no slot, since a part of its prompt is in quarantine.
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/DispatchRules.java
@@ -55,4 +55,9 @@
           Duration.ofSeconds(8),
           Duration.ofSeconds(1),
           Duration.ofSeconds(2));
+
+  /** Returns how many of the slots of a service are reserved for urgent items. */
+  int urgentSlots(int total) {
+    return (int) (total * urgentItemFraction);
+  }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -3,9 +3,10 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
 import java.util.Optional;
@@ -22,10 +23,12 @@
  * <p>Handles load whose peaks exceed the slots for some seconds:
  *
  * <ul>
- *   <li>Online requests that can still be on time go first, by priority and objective. They take
- *       the slots of batch items, which are interrupted and resumed later.
- *   <li>An online request whose expected wait exceeds its objective is refused at once, with the
- *       time after which the queue is expected to be short.
+ *   <li>Online requests that can still be on time go first, by priority, and within a priority by
+ *       fair shares of their organisations ({@link FairQueue}). They take the slots of batch items,
+ *       which are interrupted and resumed later.
+ *   <li>An online request whose expected wait in the queue of its organisation exceeds its
+ *       objective is refused at once, with a time at which a slot is likely to be free ({@link
+ *       Refusals}).
  *   <li>Online requests that missed their objective get only slots that no other work needs.
  *   <li>Batch items that are about to miss their objective go before all other work, up to a limit.
  *       Items that have missed it go last, so that an overload of items makes some late and not
@@ -35,15 +38,16 @@
  * <p>Not thread-safe.
  */
 public final class Dispatcher {
-  private static final Duration NO_BACKEND_RETRY_DELAY = Duration.ofMillis(400);
-  private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(200);
-  private static final Duration RETRY_DELAY_SPREAD = Duration.ofMillis(600);
+  /** The most demands that can be placed nowhere now and are passed over for those behind them. */
+  private static final int MAX_PASSED_OVER = 4;
 
   private final DispatchRules rules;
   private final DoubleSupplier random;
   private final PartQuarantine quarantine;
   private final BackendSlots slots;
   private final RateLimits rateLimits;
+  private final Refusals refusals;
+  private final OrganisationWeights weights;
   private final Map<DemandId, RunningWork.Entry> running = new HashMap<>();
   private final Map<DemandId, Demand> waiting = new HashMap<>();
   private final Map<String, ServiceWork> services = new HashMap<>();
@@ -67,6 +71,8 @@
     this.quarantine = checkNotNull(quarantine, "quarantine");
     this.slots = new BackendSlots(fleet, rules, random);
     this.rateLimits = new RateLimits(fleet);
+    this.refusals = new Refusals(rules, random, slots, rateLimits);
+    this.weights = new OrganisationWeights(fleet);
   }
 
   /** Sets the fraction of each limit that this dispatcher may use, above 0 and at most 1. */
@@ -95,13 +101,14 @@
       return ImmutableList.of(quarantined.get());
     }
     if (!demand.batch()) {
-      Optional<Decision> refusal = refusal(demand, nowNanos);
+      ServiceWork work = work(demand.service());
+      Optional<Decision> refusal = refusals.check(demand, work.waiting(), work.running(), nowNanos);
       if (refusal.isPresent()) {
         return ImmutableList.of(refusal.get());
       }
     }
     waiting.put(demand.id(), demand);
-    work(demand.service()).waiting().add(demand);
+    work(demand.service()).waiting().add(demand, nowNanos);
     return assignSlots(demand.service(), nowNanos);
   }
 
@@ -258,7 +265,10 @@
       case ANSWERED -> {
         load.succeeded();
         if (!ended.demand().batch()) {
-          work(ended.demand().service()).waiting().recordServiceTime(nowNanos - ended.sinceNanos());
+          work(ended.demand().service())
+              .waiting()
+              .slotTimes()
+              .record(ended.demand().profile().size(), nowNanos - ended.sinceNanos());
         }
       }
       case FAILED, STALLED, NOT_RUN -> load.failed(nowNanos, rules);
@@ -274,40 +284,6 @@
         .map(verdict -> new Decision.Quarantined(demand.id(), verdict));
   }
 
-  private Optional<Decision> refusal(Demand demand, long nowNanos) {
-    if (!slots.hasServers(demand.service(), nowNanos)) {
-      return Optional.of(
-          refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
-    }
-    int total = slots.total(demand.service(), nowNanos);
-    if (!demand.repeated() && total > 0) {
-      ServiceWork work = work(demand.service());
-      int beingFreed =
-          work.running().interruptibleCount(urgentSlots(total)) + work.running().revokedCount();
-      long excess =
-          work.waiting().online().size() + 1L - slots.free(demand.service(), nowNanos) - beingFreed;
-      double waitNanos = Math.max(0, excess) * work.waiting().serviceNanos() / total;
-      if (nowNanos + waitNanos > demand.objectiveNanos()) {
-        return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
-      }
-    }
-    return demand
-        .organisation()
-        .flatMap(id -> rateLimits.charge(id, nowNanos))
-        .map(waitNanos -> refused(demand, RefusalReason.OVER_RATE, waitNanos));
-  }
-
-  private Decision refused(Demand demand, RefusalReason reason, long waitNanos) {
-    long spread = (long) (RETRY_DELAY_SPREAD.toMillis() * random.getAsDouble());
-    long millis = Math.max(MIN_RETRY_DELAY.toMillis(), waitNanos / 1_000_000) + spread;
-    return new Decision.Refused(demand.id(), reason, millis);
-  }
-
-  /** Returns how many slots are reserved for urgent items. */
-  private int urgentSlots(int total) {
-    return (int) (total * rules.urgentItemFraction());
-  }
-
   private boolean isUrgent(Demand demand, long startNanos) {
     long remainingNanos = demand.objectiveNanos() - startNanos;
     return demand.batch() && remainingNanos > 0 && remainingNanos < rules.urgencyWindow().toNanos();
@@ -321,13 +297,13 @@
     ServiceWork work = work(service);
     WaitingQueue queue = work.waiting();
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
-    moveLate(queue, decisions, nowNanos);
+    queue.late().addAll(queue.online().pollExpired(nowNanos));
     int total = slots.total(service, nowNanos);
     boolean startsItems = scope == PlacementScope.ALL_HOSTS;
     int urgentLimit =
         queue.online().isEmpty()
             ? Integer.MAX_VALUE
-            : urgentSlots(total) - work.running().urgentCount();
+            : rules.urgentSlots(total) - work.running().urgentCount();
     place(
         service,
         queue.urgentItems(nowNanos, rules.urgencyWindow().toNanos()),
@@ -335,8 +311,8 @@
         0,
         decisions,
         nowNanos);
-    placeAll(service, queue.online(), 0, decisions, nowNanos);
-    interrupt(queue.online().size(), work.running(), urgentSlots(total), decisions);
+    placeOnline(service, queue, decisions, nowNanos);
+    interrupt(queue.online().size(), work.running(), rules.urgentSlots(total), decisions);
     if (queue.online().isEmpty()) {
       int reserve = (int) Math.ceil(total * rules.onlineReserveFraction());
       int itemLimit = startsItems ? Integer.MAX_VALUE : 0;
@@ -344,40 +320,58 @@
       placeAll(service, queue.late(), 0, decisions, nowNanos);
       place(service, queue.lateItems(nowNanos), itemLimit, reserve, decisions, nowNanos);
     }
+    refuseLate(work, decisions, nowNanos);
     return decisions.build();
   }
 
   /**
-   * Refuses the online demands that waited past their objective, so that the caller can try again
-   * in time. A repeated demand is kept waiting for a while longer, behind all that can be on time.
+   * Refuses the online demands that waited past their objective and for which no slot is left, so
+   * that the caller can try again in time. A repeated demand is kept waiting for a while longer,
+   * behind all that can be on time.
    */
-  private void moveLate(
-      WaitingQueue queue, ImmutableList.Builder<Decision> decisions, long nowNanos) {
-    for (Iterator<Demand> demands = queue.online().iterator(); demands.hasNext(); ) {
-      Demand demand = demands.next();
-      if (nowNanos - demand.objectiveNanos() > 0) {
-        demands.remove();
-        if (demand.repeated()) {
-          queue.late().add(demand);
-        } else {
-          refuseWaiting(demand, decisions);
-        }
-      }
-    }
-    for (Iterator<Demand> demands = queue.late().iterator(); demands.hasNext(); ) {
+  private void refuseLate(
+      ServiceWork work, ImmutableList.Builder<Decision> decisions, long nowNanos) {
+    for (Iterator<Demand> demands = work.waiting().late().iterator(); demands.hasNext(); ) {
       Demand demand = demands.next();
       double maxLateNanos =
-          (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitFraction();
+          demand.repeated()
+              ? (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitFraction()
+              : 0;
       if (nowNanos - demand.objectiveNanos() > maxLateNanos) {
         demands.remove();
-        refuseWaiting(demand, decisions);
+        waiting.remove(demand.id());
+        decisions.add(refusals.expired(demand, work.waiting(), work.running(), nowNanos));
       }
     }
   }
 
-  private void refuseWaiting(Demand demand, ImmutableList.Builder<Decision> decisions) {
-    waiting.remove(demand.id());
-    decisions.add(refused(demand, RefusalReason.WAITED_TOO_LONG, 0));
+  /** Places the online demands that can still be on time, in the order of their queue. */
+  private void placeOnline(
+      String service,
+      WaitingQueue queue,
+      ImmutableList.Builder<Decision> decisions,
+      long nowNanos) {
+    int placeable = queue.online().isEmpty() ? 0 : slots.free(service, nowNanos);
+    List<FairQueue.Entry> passedOver = new ArrayList<>();
+    int unplaceable = 0;
+    while (placeable > 0 && unplaceable < MAX_PASSED_OVER) {
+      Optional<FairQueue.Entry> next = queue.online().poll();
+      if (next.isEmpty()) {
+        break;
+      }
+      Demand demand = next.get().demand();
+      Optional<BackendServer> backend = slots.choose(demand, rateLimits.fraction(), nowNanos);
+      if (backend.isPresent()) {
+        queue.online().charge(next.get(), nowNanos);
+        queue.servedShares().record(demand, true);
+        placeAt(demand, backend.get().id(), decisions, nowNanos);
+        placeable--;
+      } else {
+        passedOver.add(next.get());
+        unplaceable += demand.excluded().isEmpty() ? 1 : 0;
+      }
+    }
+    passedOver.forEach(entry -> queue.online().add(entry, nowNanos));
   }
 
   private void placeAll(
@@ -415,15 +409,19 @@
         continue;
       }
       remaining.remove();
-      waiting.remove(demand.id());
-      BackendServerId id = backend.get().id();
-      slots.load(id).placed(nowNanos);
-      addRunning(demand, id, nowNanos);
-      decisions.add(new Decision.Placed(demand.id(), id));
+      placeAt(demand, backend.get().id(), decisions, nowNanos);
       placeable--;
     }
   }
 
+  private void placeAt(
+      Demand demand, BackendServerId id, ImmutableList.Builder<Decision> decisions, long nowNanos) {
+    waiting.remove(demand.id());
+    slots.load(id).placed(nowNanos);
+    addRunning(demand, id, nowNanos);
+    decisions.add(new Decision.Placed(demand.id(), id));
+  }
+
   private static void interrupt(
       int wanted, RunningWork running, int reserved, ImmutableList.Builder<Decision> decisions) {
     int missing = wanted - running.revokedCount();
@@ -441,6 +439,7 @@
         service,
         key ->
             new ServiceWork(
-                new WaitingQueue(rules.initialServiceTime().toNanos()), new RunningWork()));
+                new WaitingQueue(rules.initialServiceTime().toNanos(), weights, random),
+                new RunningWork()));
   }
 }
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Refusals.java
@@ -0,0 +1,105 @@
+package org.trefoilbarrow.coordination.dispatch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Decides which online demands are refused at once, and when their callers may try again: those
+ * whose wait in the queue of their organisation would exceed their objective, and those over their
+ * organisation's rate. Not thread-safe.
+ */
+final class Refusals {
+  private static final Duration NO_BACKEND_RETRY_DELAY = Duration.ofMillis(400);
+  private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(200);
+  private static final Duration RETRY_DELAY_SPREAD = Duration.ofMillis(600);
+
+  private final DispatchRules rules;
+  private final DoubleSupplier random;
+  private final BackendSlots slots;
+  private final RateLimits rateLimits;
+
+  Refusals(DispatchRules rules, DoubleSupplier random, BackendSlots slots, RateLimits rateLimits) {
+    this.rules = checkNotNull(rules, "rules");
+    this.random = checkNotNull(random, "random");
+    this.slots = checkNotNull(slots, "slots");
+    this.rateLimits = checkNotNull(rateLimits, "rateLimits");
+  }
+
+  /** Returns the refusal of a new online demand, if it is refused. */
+  Optional<Decision> check(
+      Demand demand, WaitingQueue waiting, RunningWork running, long nowNanos) {
+    if (!slots.hasServers(demand.service(), nowNanos)) {
+      return Optional.of(
+          withSpread(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
+    }
+    int total = slots.total(demand.service(), nowNanos);
+    if (!demand.repeated() && total > 0 && !waiting.servedShares().isBelowFloor(demand)) {
+      QueueState state = stateOf(demand, waiting, running, total, nowNanos);
+      if (state.waitNanos() > 0 && nowNanos + state.waitNanos() > demand.objectiveNanos()) {
+        waiting.servedShares().record(demand, false);
+        return Optional.of(
+            byQueue(demand, RefusalReason.TOO_LONG_A_WAIT, state, waiting, total, nowNanos));
+      }
+    }
+    return demand
+        .organisation()
+        .flatMap(id -> rateLimits.charge(id, nowNanos))
+        .map(waitNanos -> withSpread(demand, RefusalReason.OVER_RATE, waitNanos));
+  }
+
+  /** Returns the refusal of a demand that waited past its objective. */
+  Decision expired(Demand demand, WaitingQueue waiting, RunningWork running, long nowNanos) {
+    waiting.servedShares().record(demand, false);
+    int total = Math.max(1, slots.total(demand.service(), nowNanos));
+    QueueState state = stateOf(demand, waiting, running, total, nowNanos);
+    return byQueue(demand, RefusalReason.WAITED_TOO_LONG, state, waiting, total, nowNanos);
+  }
+
+  /** Returns the wait of a demand; 0 while a slot is free or being freed for it. */
+  private QueueState stateOf(
+      Demand demand, WaitingQueue waiting, RunningWork running, int total, long nowNanos) {
+    FairQueue.Backlog backlog = waiting.online().backlogBefore(demand, total, nowNanos);
+    double serviceNanos = waiting.slotTimes().meanNanos();
+    int available =
+        slots.free(demand.service(), nowNanos)
+            + running.interruptibleCount(rules.urgentSlots(total))
+            + running.revokedCount();
+    double excess = backlog.slotNanos() / serviceNanos + 1 - available;
+    long waitNanos = excess < 1e-6 ? 0 : (long) (excess * serviceNanos / total);
+    return new QueueState(
+        FairQueue.organisationOf(demand),
+        backlog.queueLength(),
+        waitNanos,
+        backlog.share(),
+        backlog.ageNanos());
+  }
+
+  private Decision byQueue(
+      Demand demand,
+      RefusalReason reason,
+      QueueState state,
+      WaitingQueue waiting,
+      int total,
+      long nowNanos) {
+    double slotInterval = waiting.slotTimes().meanNanos() / (total * state.share());
+    long delayNanos =
+        waiting
+            .returnTimes()
+            .nextDelayNanos(
+                state.organisation(),
+                state.waitNanos(),
+                slotInterval,
+                demand.deadlineNanos() - nowNanos,
+                nowNanos);
+    return new Decision.Refused(demand.id(), reason, delayNanos / 1_000_000, Optional.of(state));
+  }
+
+  private Decision withSpread(Demand demand, RefusalReason reason, long waitNanos) {
+    long spread = (long) (RETRY_DELAY_SPREAD.toMillis() * random.getAsDouble());
+    long millis = Math.max(MIN_RETRY_DELAY.toMillis(), waitNanos / 1_000_000) + spread;
+    return new Decision.Refused(demand.id(), reason, millis);
+  }
+}
--- a/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/forward/ForwardedCall.java
@@ -171,11 +171,12 @@
             attributes.requestId(),
             attributes.promptParts(),
             new WorkProfile(
-                route.name(),
-                Optional.of(services.domain()),
-                attributes.size(),
-                0,
-                attributes.promptPartTokens()));
+                    route.name(),
+                    Optional.of(services.domain()),
+                    attributes.size(),
+                    0,
+                    attributes.promptPartTokens())
+                .withCaller(organisation.map(Organisation::id)));
     Slot slot = new Slot();
     requestedSlot = Optional.of(slot);
     slot.number = services.placements().submit(demand, slot);
--- a/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/jobs/ItemRun.java
@@ -208,11 +208,12 @@
 
   private WorkProfile profile() {
     return new WorkProfile(
-        route.name(),
-        Optional.of(services.domain()),
-        services.dialect().size(item),
-        durations.expectedRemainingNanos(totalRunNanos),
-        services.dialect().promptPartTokens(item));
+            route.name(),
+            Optional.of(services.domain()),
+            services.dialect().size(item),
+            durations.expectedRemainingNanos(totalRunNanos),
+            services.dialect().promptPartTokens(item))
+        .withCaller(Optional.of(progress.job().organisation()));
   }
 
   private void scheduleRetry() {
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
@@ -97,6 +97,7 @@
     if (!profile.promptPartTokens().isEmpty()) {
       message.setPromptPartTokens(profile.promptPartTokens());
     }
+    profile.caller().ifPresent(organisation -> message.setCaller(organisation.value()));
   }
 
   private static WorkProfile profileOf(DemandMessage message) {
@@ -109,7 +110,10 @@
         message.getExpectedRunMillis() * NANOS_IN_MILLI,
         message.isSetPromptPartTokens()
             ? ImmutableList.copyOf(message.getPromptPartTokens())
-            : ImmutableList.of());
+            : ImmutableList.of(),
+        message.isSetCaller()
+            ? Optional.of(OrganisationId.of(message.getCaller()))
+            : Optional.empty());
   }
 
   /** Returns the message that ends a demand. */
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -39,6 +39,8 @@
   18: optional i64 expectedRunMillis
   /** The number of tokens of each part in promptParts. */
   19: optional list<i32> promptPartTokens
+  /** The organisation that the work is done for, also if it is charged to no rate. */
+  20: optional string caller
 }
 
 /** Ends a demand: the call has finished or was cancelled. */
--- a/server/src/test/java/org/trefoilbarrow/transport/link/DemandMessagesTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/DemandMessagesTest.java
@@ -13,6 +13,7 @@
 import org.trefoilbarrow.coordination.dispatch.WorkProfile;
 import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.protocol.OrganisationId;
 import org.trefoilbarrow.protocol.PromptPartId;
 import org.trefoilbarrow.protocol.WorkSize;
 
@@ -30,7 +31,8 @@
             Optional.of(FailureDomainId.of("d")),
             new WorkSize(450, 19),
             70 * MILLI,
-            ImmutableList.of(200))
+            ImmutableList.of(200),
+            Optional.of(OrganisationId.of("o")))
       },
     };
   }
