Log and publish the queues for which requests are refused

Change: a refusal carries the state of the queue that was too long; the dispatching host logs it, at most 200 lines a second. Gauges of waiting demands by route and by organisation, ten of each, every second.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -349,6 +349,7 @@
   private void registerGauges(Dispatcher dispatcher, PartQuarantine quarantine) {
     metrics.gauge("dispatch_waiting", dispatcher::waitingCount);
     metrics.gauge("dispatch_running", dispatcher::runningCount);
+    new QueueGauges(dispatcher, metrics).start(loop);
     metrics.gauge("quarantined_parts", () -> quarantine.count(nanoClock.getAsLong()));
     metrics.gauge("buffered_response_bytes", () -> services.buffers().totalBytes());
     metrics.gauge("platform_calls", platform::callCount);
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -54,9 +54,6 @@
   private final Map<HostId, Long> lostHosts = new HashMap<>();
   private PlacementScope scope = PlacementScope.ALL_HOSTS;
 
-  /** The work of one service. */
-  private record ServiceWork(WaitingQueue waiting, RunningWork running) {}
-
   /**
    * Creates a dispatcher without work.
    *
@@ -204,20 +201,24 @@
     return running.size();
   }
 
+  /** Returns the number of online demands that wait and can be on time, by organisation. */
+  public Map<String, Integer> waitingByOrganisation() {
+    Map<String, Integer> counts = new HashMap<>();
+    services.values().forEach(work -> work.waiting().online().countOrganisationsInto(counts));
+    return counts;
+  }
+
+  /** Returns the number of online demands that wait and can be on time, by route. */
+  public Map<String, Integer> waitingByRoute() {
+    Map<String, Integer> counts = new HashMap<>();
+    services.values().forEach(work -> work.waiting().online().countRoutesInto(counts));
+    return counts;
+  }
+
   /** Returns the number of demands and slots of each service, for logs. */
   public String describe(long nowNanos) {
     StringBuilder text = new StringBuilder();
-    services.forEach(
-        (service, work) ->
-            text.append(
-                String.format(
-                    "%s online %d late %d batch %d places %d free %d; ",
-                    service,
-                    work.waiting().online().size(),
-                    work.waiting().late().size(),
-                    work.waiting().itemCount(),
-                    slots.total(service, nowNanos),
-                    slots.free(service, nowNanos))));
+    services.forEach((service, work) -> text.append(work.describe(service, slots, nowNanos)));
     return text.toString().trim();
   }
 
@@ -320,29 +321,11 @@
       placeAll(service, queue.late(), 0, decisions, nowNanos);
       place(service, queue.lateItems(nowNanos), itemLimit, reserve, decisions, nowNanos);
     }
-    refuseLate(work, decisions, nowNanos);
-    return decisions.build();
-  }
-
-  /**
-   * Refuses the online demands that waited past their objective and for which no slot is left, so
-   * that the caller can try again in time. A repeated demand is kept waiting for a while longer,
-   * behind all that can be on time.
-   */
-  private void refuseLate(
-      ServiceWork work, ImmutableList.Builder<Decision> decisions, long nowNanos) {
-    for (Iterator<Demand> demands = work.waiting().late().iterator(); demands.hasNext(); ) {
-      Demand demand = demands.next();
-      double maxLateNanos =
-          demand.repeated()
-              ? (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitFraction()
-              : 0;
-      if (nowNanos - demand.objectiveNanos() > maxLateNanos) {
-        demands.remove();
-        waiting.remove(demand.id());
-        decisions.add(refusals.expired(demand, work.waiting(), work.running(), nowNanos));
-      }
+    for (Decision refusal : refusals.refuseLate(queue, work.running(), nowNanos)) {
+      waiting.remove(refusal.demand());
+      decisions.add(refusal);
     }
+    return decisions.build();
   }
 
   /** Places the online demands that can still be on time, in the order of their queue. */
@@ -435,11 +418,6 @@
   }
 
   private ServiceWork work(String service) {
-    return services.computeIfAbsent(
-        service,
-        key ->
-            new ServiceWork(
-                new WaitingQueue(rules.initialServiceTime().toNanos(), weights, random),
-                new RunningWork()));
+    return services.computeIfAbsent(service, key -> ServiceWork.create(rules, weights, random));
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairLevel.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairLevel.java
@@ -92,7 +92,7 @@
 
   void charge(String organisation, double servedCost, long nowNanos) {
     Account account = accountOf(organisation);
-    boolean wasActive = active.remove(account);
+    final boolean wasActive = active.remove(account);
     virtualTime = Math.max(virtualTime, account.startTag);
     account.startTag =
         Math.max(account.startTag, virtualTime) + servedCost / Math.max(account.weight, 1e-9);
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairQueue.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairQueue.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -31,6 +33,7 @@
   private final ToDoubleFunction<String> weights;
   private final TreeMap<Integer, FairLevel> levels = new TreeMap<>();
   private final Map<DemandId, Entry> entries = new HashMap<>();
+  private final Multiset<String> routes = HashMultiset.create();
   private final TreeSet<Entry> byObjective = new TreeSet<>(BY_OBJECTIVE);
 
   /**
@@ -81,6 +84,7 @@
   void add(Entry entry, long nowNanos) {
     if (entries.putIfAbsent(entry.demand.id(), entry) == null) {
       byObjective.add(entry);
+      routes.add(entry.demand.profile().route());
       String organisation = organisationOf(entry.demand);
       levelOf(entry.demand).add(organisation, weights.applyAsDouble(organisation), entry, nowNanos);
     }
@@ -91,6 +95,7 @@
     Entry entry = entries.remove(id);
     if (entry != null) {
       byObjective.remove(entry);
+      routes.remove(entry.demand.profile().route());
       levelOf(entry.demand).remove(organisationOf(entry.demand), entry);
     }
   }
@@ -137,11 +142,16 @@
     return new Backlog(higher + own.slotNanos(), own.queueLength(), own.share(), own.ageNanos());
   }
 
-  /** Returns the number of waiting demands by organisation. */
-  Map<String, Integer> countByOrganisation() {
-    Map<String, Integer> counts = new HashMap<>();
+  /** Adds the number of waiting demands of each organisation. */
+  void countOrganisationsInto(Map<String, Integer> counts) {
     levels.values().forEach(level -> level.countInto(counts));
-    return counts;
+  }
+
+  /** Adds the number of waiting demands of each route. */
+  void countRoutesInto(Map<String, Integer> counts) {
+    routes
+        .entrySet()
+        .forEach(route -> counts.merge(route.getElement(), route.getCount(), Integer::sum));
   }
 
   /** Returns the number of organisations whose state is kept, waiting or not. */
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Refusals.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Refusals.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.Iterator;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
 
@@ -50,8 +52,29 @@
         .map(waitNanos -> withSpread(demand, RefusalReason.OVER_RATE, waitNanos));
   }
 
-  /** Returns the refusal of a demand that waited past its objective. */
-  Decision expired(Demand demand, WaitingQueue waiting, RunningWork running, long nowNanos) {
+  /**
+   * Refuses the online demands that waited past their objective and got no slot, so that the caller
+   * can try again in time. A repeated demand is kept waiting for a while longer, behind all that
+   * can be on time.
+   */
+  ImmutableList<Decision> refuseLate(WaitingQueue waiting, RunningWork running, long nowNanos) {
+    ImmutableList.Builder<Decision> refusals = ImmutableList.builder();
+    for (Iterator<Demand> demands = waiting.late().iterator(); demands.hasNext(); ) {
+      Demand demand = demands.next();
+      double maxLateNanos =
+          demand.repeated()
+              ? (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitFraction()
+              : 0;
+      if (nowNanos - demand.objectiveNanos() > maxLateNanos) {
+        demands.remove();
+        refusals.add(expired(demand, waiting, running, nowNanos));
+      }
+    }
+    return refusals.build();
+  }
+
+  private Decision expired(
+      Demand demand, WaitingQueue waiting, RunningWork running, long nowNanos) {
     waiting.servedShares().record(demand, false);
     int total = Math.max(1, slots.total(demand.service(), nowNanos));
     QueueState state = stateOf(demand, waiting, running, total, nowNanos);
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DemandMessages.java
@@ -82,6 +82,22 @@
         profileOf(message));
   }
 
+  /** Returns a demand of this host. */
+  static Demand toDemand(DemandId id, DemandSpec demand) {
+    return new Demand(
+        id,
+        demand.service(),
+        demand.organisation(),
+        demand.priority(),
+        demand.batch(),
+        demand.objectiveNanos(),
+        demand.deadlineNanos(),
+        demand.repeated(),
+        demand.excluded(),
+        demand.promptParts(),
+        demand.profile());
+  }
+
   private static void setProfile(DemandMessage message, WorkProfile profile) {
     if (profile.size().isKnown()) {
       message.setPromptTokens(profile.size().promptTokens());
@@ -141,22 +157,6 @@
         message.isBackendLeaving());
   }
 
-  /** Returns a demand of this host. */
-  static Demand toDemand(DemandId id, DemandSpec demand) {
-    return new Demand(
-        id,
-        demand.service(),
-        demand.organisation(),
-        demand.priority(),
-        demand.batch(),
-        demand.objectiveNanos(),
-        demand.deadlineNanos(),
-        demand.repeated(),
-        demand.excluded(),
-        demand.promptParts(),
-        demand.profile());
-  }
-
   /** Returns the prompt parts with the given identifiers. */
   static ImmutableList<PromptPartId> parts(List<String> identifiers) {
     return identifiers.stream().map(PromptPartId::of).collect(ImmutableList.toImmutableList());
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -71,6 +71,7 @@
   private final TermClaimer claimer;
   private final LongSupplier nanoClock;
   private final EventLog log;
+  private final RefusalLog refusalLog;
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final HostLinks links;
   private final DispatchServer server;
@@ -135,6 +136,7 @@
     this.quarantine = checkNotNull(quarantine, "quarantine");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.log = checkNotNull(log, "log");
+    this.refusalLog = new RefusalLog(log);
     this.election = new DispatchElection(self.host(), self.startedMillis(), ElectionRules.DEFAULT);
     this.claimer =
         new TermClaimer(election, terms, canDispatch, connectedToPlatform, nanoClock, log);
@@ -576,6 +578,7 @@
 
   private void apply(ImmutableList<Decision> decisions) {
     for (Decision decision : decisions) {
+      refusalLog.add(decision, nanoClock.getAsLong());
       DemandId id = decision.demand();
       if (id.host().equals(self.host())) {
         applyLocally(decision);
--- a/server/src/main/java/org/trefoilbarrow/transport/metrics/FleetMetrics.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/metrics/FleetMetrics.java
@@ -6,10 +6,13 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingWindowReservoir;
+import com.google.common.collect.HashMultimap;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.SetMultimap;
 import io.prometheus.client.dropwizard.samplebuilder.MapperConfig;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -25,7 +28,7 @@
   /** The number of values that a histogram keeps; each takes eight bytes. */
   private static final int HISTOGRAM_SIZE = 256;
 
-  /** The organisation label of requests on routes that need no key. */
+  /** The label of requests without an organisation or a route. */
   private static final String NO_ORGANISATION = "none";
 
   private static final String REQUESTS = "requests";
@@ -34,7 +37,14 @@
   private static final String ITEM_TIMES = "item-micros";
   private static final String PLACEMENTS = "places";
 
+  /** The number of waiting online demands by route. */
+  public static final String WAITING_BY_ROUTE = "waiting-by-route";
+
+  /** The number of waiting online demands of the organisations with the longest queues. */
+  public static final String WAITING_BY_ORGANISATION = "waiting-by-organisation";
+
   private final MetricRegistry registry;
+  private final SetMultimap<String, String> replacedGauges = HashMultimap.create();
 
   /** A stage of a request, whose time is measured from the arrival of the request. */
   public enum Stage {
@@ -58,7 +68,9 @@
         labelMapping(REQUEST_TIMES, "organisation", "class", "stage"),
         labelMapping(ITEMS, "organisation", "outcome"),
         labelMapping(ITEM_TIMES, "organisation"),
-        labelMapping(PLACEMENTS, "backend", "result"));
+        labelMapping(PLACEMENTS, "backend", "result"),
+        labelMapping(WAITING_BY_ROUTE, "route"),
+        labelMapping(WAITING_BY_ORGANISATION, "organisation"));
   }
 
   MetricRegistry registry() {
@@ -99,6 +111,21 @@
     registry.gauge(name, () -> (Gauge<Long>) value::getAsLong);
   }
 
+  /**
+   * Replaces the gauges of a metric with one label; those of other labels end.
+   *
+   * @param values the values by label
+   */
+  public synchronized void replaceGauges(String metric, Map<String, Integer> values) {
+    replacedGauges.removeAll(metric).forEach(registry::remove);
+    values.forEach(
+        (label, value) -> {
+          String name = metricName(metric, label.isEmpty() ? NO_ORGANISATION : label);
+          registry.gauge(name, () -> (Gauge<Integer>) () -> value);
+          replacedGauges.put(metric, name);
+        });
+  }
+
   private Histogram histogram(String name) {
     return registry.histogram(
         name, () -> new Histogram(new SlidingWindowReservoir(HISTOGRAM_SIZE)));
