Estimate the wait of a queue by what its organisations were served lately

In the first 200 ms of a queue its share was taken as that among the queues alone, though organisations with one request at a time go before it; callers who return, and slots that hold more than they should after a loss of the dispatching host, were not counted. ReturnTimes also scanned its entries at each refusal.

Change: the organisations that wait share the part of the slot time that they were served lately (decaying over 0.3 s), by weight. The queue counts double while callers of the organisation are to return; overbooked slots count as work ahead. Eviction of return times is amortised.

A queue factor and the overbooked slots alone were not measured apart.

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -93,6 +93,17 @@
     return free;
   }
 
+  /** Returns how much of the work reported as running must end before all slots can be assigned. */
+  int overbooked(String service, long nowNanos) {
+    int overbooked = 0;
+    for (BackendServer backend : usable(service)) {
+      if (isCurrent(backend, nowNanos)) {
+        overbooked += Math.max(0, load(backend.id()).running() - share.slotsOf(backend));
+      }
+    }
+    return overbooked;
+  }
+
   /**
    * Returns the backend server to place a demand at, if one has a slot for it.
    *
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairLevel.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairLevel.java
@@ -1,6 +1,5 @@
 package org.trefoilbarrow.coordination.dispatch;
 
-import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -16,11 +15,6 @@
 final class FairLevel {
   private static final int MIN_ACCOUNTS_TO_EVICT = 64;
 
-  /** The time after which an organisation's rate of service is measured well enough to be used. */
-  private static final Duration MIN_MEASURED = Duration.ofMillis(200);
-
-  private static final Duration MAX_MEASURED = Duration.ofSeconds(2);
-
   private final Map<String, Account> accounts = new HashMap<>();
   private final TreeSet<Account> active =
       new TreeSet<>(
@@ -28,6 +22,8 @@
               .thenComparing(account -> account.organisation));
   private double virtualTime;
   private double activeWeight;
+  private double activeServed;
+  private double accountsWeight;
   private double cost;
   private int evictionSize = MIN_ACCOUNTS_TO_EVICT;
 
@@ -39,7 +35,7 @@
     double startTag;
     double waitingCost;
     long busySinceNanos;
-    double servedCost;
+    double served;
 
     Account(String organisation) {
       this.organisation = organisation;
@@ -54,11 +50,12 @@
   void add(String organisation, double weight, FairQueue.Entry entry, long nowNanos) {
     Account account = accountOf(organisation);
     if (account.waiting.isEmpty()) {
+      accountsWeight += weight - account.weight;
       account.weight = weight;
       account.startTag = Math.max(account.startTag, virtualTime);
       account.busySinceNanos = nowNanos;
-      account.servedCost = 0;
       activeWeight += weight;
+      activeServed += account.served;
       active.add(account);
     }
     account.waiting.add(entry);
@@ -77,10 +74,12 @@
       account.waitingCost = 0;
       active.remove(account);
       activeWeight -= account.weight;
+      activeServed -= account.served;
     }
     if (active.isEmpty()) {
       // Rounding errors must not add up.
       activeWeight = 0;
+      activeServed = 0;
       cost = 0;
     }
   }
@@ -90,46 +89,51 @@
     return active.isEmpty() ? Optional.empty() : Optional.of(active.first().waiting.first());
   }
 
-  void charge(String organisation, double servedCost, long nowNanos) {
+  /**
+   * Charges a served demand.
+   *
+   * @param decayedCost its cost, scaled by its time; see {@link FairQueue}
+   */
+  void charge(String organisation, double servedCost, double decayedCost) {
     Account account = accountOf(organisation);
     final boolean wasActive = active.remove(account);
     virtualTime = Math.max(virtualTime, account.startTag);
     account.startTag =
         Math.max(account.startTag, virtualTime) + servedCost / Math.max(account.weight, 1e-9);
-    account.servedCost += servedCost;
-    if (nowNanos - account.busySinceNanos > MAX_MEASURED.toNanos()) {
-      account.busySinceNanos += (nowNanos - account.busySinceNanos) / 2;
-      account.servedCost /= 2;
-    }
+    account.served += decayedCost;
     if (wasActive) {
+      activeServed += decayedCost;
       active.add(account);
     }
   }
 
+  /** Scales what was served. */
+  void rescale(double factor) {
+    accounts.values().forEach(account -> account.served *= factor);
+    activeServed *= factor;
+  }
+
   /**
-   * Returns what would be served before a new demand of an organisation: its own queue, at the rate
-   * at which that was served of late, or at its fair share of the slots while there is no measure.
+   * Returns what would be served before a new demand of an organisation: its own queue, at its
+   * share of the slots. The organisations that wait share, by weight, what they were served of
+   * late; the rest goes to organisations that have one demand at a time and go before any queue.
+   *
+   * @param totalServed what was served of late at all priorities, scaled as in {@link #charge}
    */
-  FairQueue.Backlog backlogOf(String organisation, int slots, long nowNanos) {
+  FairQueue.Backlog backlogOf(String organisation, double totalServed, long nowNanos) {
     Account account = accounts.get(organisation);
     if (account == null || account.waiting.isEmpty()) {
       double lag = account == null ? 0 : Math.max(0, account.startTag - virtualTime);
       double ahead = Math.min(cost, lag * activeWeight);
       return new FairQueue.Backlog(ahead, 0, 1.0 / (active.size() + 1), 0);
     }
-    long busyNanos = nowNanos - account.busySinceNanos;
-    double fairShare = account.weight / activeWeight;
-    if (busyNanos >= MIN_MEASURED.toNanos() && account.servedCost > 0) {
-      double share = Math.min(1, account.servedCost / ((double) busyNanos * slots));
-      return new FairQueue.Backlog(
-          account.waitingCost / share, account.waiting.size(), share, busyNanos);
-    }
-    double lag = Math.max(0, account.startTag - virtualTime) * activeWeight;
+    double part = totalServed > 0 ? Math.min(1, activeServed / totalServed) : 1;
+    double share = Math.max(part * account.weight / activeWeight, account.weight / accountsWeight);
     return new FairQueue.Backlog(
-        Math.min(cost, lag + account.waitingCost / fairShare),
+        account.waitingCost / share,
         account.waiting.size(),
-        fairShare,
-        busyNanos);
+        share,
+        nowNanos - account.busySinceNanos);
   }
 
   void countInto(Map<String, Integer> counts) {
@@ -165,6 +169,7 @@
     accounts
         .values()
         .removeIf(account -> account.waiting.isEmpty() && account.startTag <= virtualTime);
+    accountsWeight = accounts.values().stream().mapToDouble(account -> account.weight).sum();
     evictionSize = Math.max(MIN_ACCOUNTS_TO_EVICT, 2 * accounts.size());
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairQueue.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairQueue.java
@@ -30,11 +30,19 @@
   static final Comparator<Entry> WITHIN_ORGANISATION =
       Comparator.comparing((Entry entry) -> !entry.first).thenComparing(BY_OBJECTIVE);
 
+  /** The time over which it is measured what each organisation is served. */
+  private static final double SHARE_TIME_CONSTANT_NANOS = 300e6;
+
+  /** Bounds the scale of decaying sums, which grows with time instead of their values decaying. */
+  private static final double MAX_EXPONENT = 40;
+
   private final ToDoubleFunction<String> weights;
   private final TreeMap<Integer, FairLevel> levels = new TreeMap<>();
   private final Map<DemandId, Entry> entries = new HashMap<>();
   private final Multiset<String> routes = HashMultiset.create();
   private final TreeSet<Entry> byObjective = new TreeSet<>(BY_OBJECTIVE);
+  private double served;
+  private long landmarkNanos;
 
   /**
    * A waiting demand.
@@ -114,7 +122,17 @@
 
   /** Charges a demand that was polled and got a slot to its organisation. */
   void charge(Entry entry, long nowNanos) {
-    levelOf(entry.demand).charge(organisationOf(entry.demand), entry.cost, nowNanos);
+    double exponent = (nowNanos - landmarkNanos) / SHARE_TIME_CONSTANT_NANOS;
+    if (exponent > MAX_EXPONENT || exponent < 0) {
+      double factor = Math.exp(-exponent);
+      levels.values().forEach(level -> level.rescale(factor));
+      served *= factor;
+      landmarkNanos = nowNanos;
+      exponent = 0;
+    }
+    double decayedCost = entry.cost * Math.exp(exponent);
+    served += decayedCost;
+    levelOf(entry.demand).charge(organisationOf(entry.demand), entry.cost, decayedCost);
   }
 
   /** Removes and returns the demands that have missed their objective. */
@@ -128,17 +146,13 @@
     return expired.build();
   }
 
-  /**
-   * Returns what would be served before a new demand.
-   *
-   * @param slots the number of slots of the service
-   */
-  Backlog backlogBefore(Demand demand, int slots, long nowNanos) {
+  /** Returns what would be served before a new demand. */
+  Backlog backlogBefore(Demand demand, long nowNanos) {
     double higher = 0;
     for (FairLevel level : levels.headMap(demand.priority(), false).values()) {
       higher += level.cost();
     }
-    Backlog own = levelOf(demand).backlogOf(organisationOf(demand), slots, nowNanos);
+    Backlog own = levelOf(demand).backlogOf(organisationOf(demand), served, nowNanos);
     return new Backlog(higher + own.slotNanos(), own.queueLength(), own.share(), own.ageNanos());
   }
 
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/QueueState.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/QueueState.java
@@ -7,7 +7,7 @@
  * @param length the number of its waiting demands
  * @param waitNanos the expected wait of one more
  * @param share the fraction of the slots that the queue gets
- * @param ageNanos for how long the queue has not been empty, which is what the share is based on
+ * @param ageNanos for how long the queue has not been empty
  */
 public record QueueState(
     String organisation, int length, long waitNanos, double share, long ageNanos) {}
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Refusals.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Refusals.java
@@ -84,13 +84,15 @@
   /** Returns the wait of a demand; 0 while a slot is free or being freed for it. */
   private QueueState stateOf(
       Demand demand, WaitingQueue waiting, RunningWork running, int total, long nowNanos) {
-    FairQueue.Backlog backlog = waiting.online().backlogBefore(demand, total, nowNanos);
+    FairQueue.Backlog backlog = waiting.online().backlogBefore(demand, nowNanos);
     double serviceNanos = waiting.slotTimes().meanNanos();
     int available =
         slots.free(demand.service(), nowNanos)
             + running.interruptibleCount(rules.urgentSlots(total))
-            + running.revokedCount();
-    double excess = backlog.slotNanos() / serviceNanos + 1 - available;
+            + running.revokedCount()
+            - slots.overbooked(demand.service(), nowNanos);
+    double returns = waiting.returnTimes().queueFactor(FairQueue.organisationOf(demand), nowNanos);
+    double excess = backlog.slotNanos() / serviceNanos * returns + 1 - available;
     long waitNanos = excess < 1e-6 ? 0 : (long) (excess * serviceNanos / total);
     return new QueueState(
         FairQueue.organisationOf(demand),
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/ReturnTimes.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/ReturnTimes.java
@@ -18,10 +18,11 @@
   /** The part of an organisation's slots that callers who return are spread over. */
   private static final double CAPACITY_FOR_RETURNS = 0.5;
 
-  private static final int MAX_ENTRIES = 1_000;
+  private static final int MIN_ENTRIES_TO_EVICT = 64;
 
   private final Map<String, Long> nextReturns = new HashMap<>();
   private final DoubleSupplier random;
+  private int evictionSize = MIN_ENTRIES_TO_EVICT;
 
   ReturnTimes(DoubleSupplier random) {
     this.random = random;
@@ -42,7 +43,7 @@
       double slotIntervalNanos,
       long remainingNanos,
       long nowNanos) {
-    nextReturns.values().removeIf(next -> nextReturns.size() > MAX_ENTRIES && next - nowNanos < 0);
+    evictPast(nowNanos);
     long earliest = Math.max(MIN_DELAY.toNanos(), waitNanos);
     long latest = (long) (remainingNanos * HONOURED_PART);
     long next = nextReturns.getOrDefault(organisation, nowNanos + earliest);
@@ -54,4 +55,17 @@
         organisation, nowNanos + delay + (long) (slotIntervalNanos / CAPACITY_FOR_RETURNS));
     return delay;
   }
+
+  /** Returns how much longer a queue takes for callers that are to return and go before it. */
+  double queueFactor(String organisation, long nowNanos) {
+    Long next = nextReturns.get(organisation);
+    return next != null && next - nowNanos > 0 ? 1 / (1 - CAPACITY_FOR_RETURNS) : 1;
+  }
+
+  private void evictPast(long nowNanos) {
+    if (nextReturns.size() >= evictionSize) {
+      nextReturns.values().removeIf(next -> next - nowNanos < 0);
+      evictionSize = Math.max(MIN_ENTRIES_TO_EVICT, 2 * nextReturns.size());
+    }
+  }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/ServedShares.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/ServedShares.java
@@ -16,7 +16,7 @@
   private static final double FLOOR = 0.95;
 
   private static final double DECAY = 0.995;
-  private static final double MIN_EXPECTED = 5;
+  private static final double MIN_EXPECTED = 30;
   private static final int MAX_ENTRIES = 20_000;
 
   /** The part of the requests of a route that are not large. */
