--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -36,6 +36,7 @@
   private final Map<String, ImmutableList<BackendServer>> usable = new HashMap<>();
   private long indexedChangeCount = -1;
   private SlotShare share = SlotShare.ALL;
+  private PlacementScope scope = PlacementScope.ALL_HOSTS;
 
   BackendSlots(
       FleetView fleet, DispatchRules rules, DoubleSupplier random, LeavingServers leaving) {
@@ -50,6 +51,11 @@
     share = newShare;
   }
 
+  /** Sets whose work the slots are assigned to. */
+  void setScope(PlacementScope newScope) {
+    scope = newScope;
+  }
+
   BackendLoad load(BackendServerId id) {
     return loads.computeIfAbsent(id, key -> new BackendLoad());
   }
@@ -67,6 +73,11 @@
     return usable(service).stream().anyMatch(backend -> isCurrent(backend, nowNanos));
   }
 
+  /** Returns whether any server of a service has stated that it is leaving. */
+  boolean hasLeaving(String service) {
+    return usable(service).stream().anyMatch(leaving::isLeaving);
+  }
+
   /**
    * Returns whether all servers that the platform lists as ready for a demand have stated that they
    * are leaving. Each of them ends soon, so a slot of theirs is not worth waiting for.
@@ -108,6 +119,17 @@
     return free;
   }
 
+  /** Returns how much of the work reported as running must end before all slots can be assigned. */
+  int overbooked(String service, long nowNanos) {
+    int overbooked = 0;
+    for (BackendServer backend : usable(service)) {
+      if (isCurrent(backend, nowNanos)) {
+        overbooked += Math.max(0, load(backend.id()).running() - share.slotsOf(backend));
+      }
+    }
+    return overbooked;
+  }
+
   /**
    * Returns the backend server to place a demand at, if one has a slot for it.
    *
@@ -115,18 +137,16 @@
    */
   Optional<BackendServer> choose(Demand demand, double fraction, long nowNanos) {
     Set<BackendServerId> excluded = excludedServers(demand, nowNanos);
+    if (scope == PlacementScope.OWN_HOST) {
+      return chooseBetweenTwo(demand, excluded, fraction, nowNanos);
+    }
     BackendServer best = null;
     double bestScore = Double.MAX_VALUE;
     for (BackendServer backend : usable(demand.service())) {
-      if (!isCurrent(backend, nowNanos) || excluded.contains(backend.id())) {
+      if (!isEligible(backend, excluded, fraction, nowNanos)) {
         continue;
       }
       BackendLoad load = load(backend.id());
-      if (load.running() >= share.slotsOf(backend)
-          || load.isReportedLeaving(nowNanos, rules.leavingReportValidity())
-          || isAtColdRateLimit(backend, load, fraction, nowNanos)) {
-        continue;
-      }
       double score =
           (double) load.running() / backend.slots() + random.getAsDouble() * MAX_TIE_BREAK;
       if (load.isPenalised(nowNanos)) {
@@ -140,6 +160,36 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Chooses by the load that this host has placed. A server that rejected work goes last: its own
+   * queue is full.
+   */
+  private Optional<BackendServer> chooseBetweenTwo(
+      Demand demand, Set<BackendServerId> excluded, double fraction, long nowNanos) {
+    ImmutableList<BackendServer> eligible =
+        usable(demand.service()).stream()
+            .filter(backend -> isEligible(backend, excluded, fraction, nowNanos))
+            .collect(ImmutableList.toImmutableList());
+    ImmutableList<BackendServer> accepting =
+        eligible.stream()
+            .filter(backend -> !load(backend.id()).isPenalised(nowNanos))
+            .collect(ImmutableList.toImmutableList());
+    return TwoRandomChoices.choose(
+        accepting.isEmpty() ? eligible : accepting,
+        backend -> (double) load(backend.id()).running() / backend.slots(),
+        random);
+  }
+
+  private boolean isEligible(
+      BackendServer backend, Set<BackendServerId> excluded, double fraction, long nowNanos) {
+    BackendLoad load = load(backend.id());
+    return isCurrent(backend, nowNanos)
+        && !excluded.contains(backend.id())
+        && load.running() < share.slotsOf(backend)
+        && !load.isReportedLeaving(nowNanos, rules.leavingReportValidity())
+        && !isAtColdRateLimit(backend, load, fraction, nowNanos);
+  }
+
   /**
    * Returns the servers that a demand must not be placed at. An item goes back to a server that
    * failed it if there is no other; without that, it would wait for one for ever.
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Dispatcher.java
@@ -3,10 +3,10 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.Sets;
-import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
 import java.util.Optional;
@@ -24,10 +24,12 @@
  * <p>Handles load whose peaks exceed the slots for some seconds:
  *
  * <ul>
- *   <li>Online requests that can still be on time go first, by priority and objective. They take
- *       the slots of batch items, which are interrupted and resumed later.
- *   <li>An online request whose expected wait exceeds its objective is refused at once, with the
- *       time after which the queue is expected to be short.
+ *   <li>Online requests that can still be on time go first, by priority, and within a priority by
+ *       fair shares of their organisations ({@link FairQueue}). They take the slots of batch items,
+ *       which are interrupted and resumed later.
+ *   <li>An online request whose expected wait in the queue of its organisation exceeds its
+ *       objective is refused at once, with a time at which a slot is likely to be free ({@link
+ *       Refusals}).
  *   <li>Online requests that missed their objective get only slots that no other work needs.
  *   <li>Batch items that are about to miss their objective go before all other work, up to a limit.
  *       Items that have missed it go last, so that an overload of items makes some late and not
@@ -37,22 +39,21 @@
  * <p>Not thread-safe.
  */
 public final class Dispatcher {
-  private static final Duration NO_BACKEND_RETRY_DELAY = Duration.ofMillis(400);
-  private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(200);
-  private static final Duration RETRY_DELAY_SPREAD = Duration.ofMillis(600);
+  /** The most demands that can be placed nowhere now and are passed over for those behind them. */
+  private static final int MAX_PASSED_OVER = 4;
 
   private final DispatchRules rules;
   private final DoubleSupplier random;
   private final PartQuarantine quarantine;
   private final BackendSlots slots;
   private final RateLimits rateLimits;
+  private final Refusals refusals;
+  private final OrganisationWeights weights;
   private final Map<DemandId, RunningWork.Entry> running = new HashMap<>();
   private final Map<DemandId, Demand> waiting = new HashMap<>();
   private final Map<String, ServiceWork> services = new HashMap<>();
   private final Map<HostId, Long> lostHosts = new HashMap<>();
-
-  /** The work of one service. */
-  private record ServiceWork(WaitingQueue waiting, RunningWork running) {}
+  private PlacementScope scope = PlacementScope.ALL_HOSTS;
 
   /**
    * Creates a dispatcher without work.
@@ -73,6 +74,8 @@
     this.quarantine = checkNotNull(quarantine, "quarantine");
     this.slots = new BackendSlots(fleet, rules, random, leaving);
     this.rateLimits = new RateLimits(fleet);
+    this.refusals = new Refusals(rules, random, slots, rateLimits);
+    this.weights = new OrganisationWeights(fleet);
   }
 
   /** Sets the fraction of each limit that this dispatcher may use, above 0 and at most 1. */
@@ -85,6 +88,12 @@
     slots.setShare(checkNotNull(share, "share"));
   }
 
+  /** Sets whose work this dispatcher places. */
+  public void setScope(PlacementScope newScope) {
+    scope = checkNotNull(newScope, "newScope");
+    slots.setScope(newScope);
+  }
+
   /** Submits a demand, which is placed, refused or kept waiting. A known demand is ignored. */
   public ImmutableList<Decision> submit(Demand demand, long nowNanos) {
     if (waiting.containsKey(demand.id()) || running.containsKey(demand.id())) {
@@ -95,13 +104,14 @@
       return ImmutableList.of(quarantined.get());
     }
     if (!demand.batch()) {
-      Optional<Decision> refusal = refusal(demand, nowNanos);
+      ServiceWork work = work(demand.service());
+      Optional<Decision> refusal = refusals.check(demand, work.waiting(), work.running(), nowNanos);
       if (refusal.isPresent()) {
         return ImmutableList.of(refusal.get());
       }
     }
     waiting.put(demand.id(), demand);
-    work(demand.service()).waiting().add(demand);
+    work(demand.service()).waiting().add(demand, nowNanos);
     return assignSlots(demand.service(), nowNanos);
   }
 
@@ -197,20 +207,24 @@
     return running.size();
   }
 
+  /** Returns the number of online demands that wait and can be on time, by organisation. */
+  public Map<String, Integer> waitingByOrganisation() {
+    Map<String, Integer> counts = new HashMap<>();
+    services.values().forEach(work -> work.waiting().online().countOrganisationsInto(counts));
+    return counts;
+  }
+
+  /** Returns the number of online demands that wait and can be on time, by route. */
+  public Map<String, Integer> waitingByRoute() {
+    Map<String, Integer> counts = new HashMap<>();
+    services.values().forEach(work -> work.waiting().online().countRoutesInto(counts));
+    return counts;
+  }
+
   /** Returns the number of demands and slots of each service, for logs. */
   public String describe(long nowNanos) {
     StringBuilder text = new StringBuilder();
-    services.forEach(
-        (service, work) ->
-            text.append(
-                String.format(
-                    "%s online %d late %d batch %d places %d free %d; ",
-                    service,
-                    work.waiting().online().size(),
-                    work.waiting().late().size(),
-                    work.waiting().itemCount(),
-                    slots.total(service, nowNanos),
-                    slots.free(service, nowNanos))));
+    services.forEach((service, work) -> text.append(work.describe(service, slots, nowNanos)));
     return text.toString().trim();
   }
 
@@ -258,7 +272,10 @@
       case ANSWERED -> {
         load.succeeded();
         if (!ended.demand().batch()) {
-          work(ended.demand().service()).waiting().recordServiceTime(nowNanos - ended.sinceNanos());
+          work(ended.demand().service())
+              .waiting()
+              .slotTimes()
+              .record(ended.demand().profile().size(), nowNanos - ended.sinceNanos());
         }
       }
       case FAILED, STALLED, NOT_RUN -> load.failed(nowNanos, rules);
@@ -274,40 +291,6 @@
         .map(verdict -> new Decision.Quarantined(demand.id(), verdict));
   }
 
-  private Optional<Decision> refusal(Demand demand, long nowNanos) {
-    if (!slots.hasServers(demand.service(), nowNanos) || slots.areAllLeaving(demand)) {
-      return Optional.of(
-          refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
-    }
-    int total = slots.total(demand.service(), nowNanos);
-    if (!demand.repeated() && total > 0) {
-      ServiceWork work = work(demand.service());
-      int beingFreed =
-          work.running().interruptibleCount(urgentSlots(total)) + work.running().revokedCount();
-      long excess =
-          work.waiting().online().size() + 1L - slots.free(demand.service(), nowNanos) - beingFreed;
-      double waitNanos = Math.max(0, excess) * work.waiting().serviceNanos() / total;
-      if (nowNanos + waitNanos > demand.objectiveNanos()) {
-        return Optional.of(refused(demand, RefusalReason.TOO_LONG_A_WAIT, (long) waitNanos));
-      }
-    }
-    return demand
-        .organisation()
-        .flatMap(id -> rateLimits.charge(id, nowNanos))
-        .map(waitNanos -> refused(demand, RefusalReason.OVER_RATE, waitNanos));
-  }
-
-  private Decision refused(Demand demand, RefusalReason reason, long waitNanos) {
-    long spread = (long) (RETRY_DELAY_SPREAD.toMillis() * random.getAsDouble());
-    long millis = Math.max(MIN_RETRY_DELAY.toMillis(), waitNanos / 1_000_000) + spread;
-    return new Decision.Refused(demand.id(), reason, millis);
-  }
-
-  /** Returns how many slots are reserved for urgent items. */
-  private int urgentSlots(int total) {
-    return (int) (total * rules.urgentItemFraction());
-  }
-
   private boolean isUrgent(Demand demand, long startNanos) {
     long remainingNanos = demand.objectiveNanos() - startNanos;
     return demand.batch() && remainingNanos > 0 && remainingNanos < rules.urgencyWindow().toNanos();
@@ -321,73 +304,67 @@
     ServiceWork work = work(service);
     WaitingQueue queue = work.waiting();
     ImmutableList.Builder<Decision> decisions = ImmutableList.builder();
-    refuseUnplaceable(queue, decisions);
-    moveLate(queue, decisions, nowNanos);
+    addRefusals(refusals.refuseUnplaceable(service, queue), decisions);
+    queue.late().addAll(queue.online().pollExpired(nowNanos));
     int total = slots.total(service, nowNanos);
+    boolean startsItems = scope == PlacementScope.ALL_HOSTS;
     int urgentLimit =
         queue.online().isEmpty()
             ? Integer.MAX_VALUE
-            : urgentSlots(total) - work.running().urgentCount();
+            : rules.urgentSlots(total) - work.running().urgentCount();
     place(
         service,
         queue.urgentItems(nowNanos, rules.urgencyWindow().toNanos()),
-        urgentLimit,
+        startsItems ? urgentLimit : 0,
         0,
         decisions,
         nowNanos);
-    placeAll(service, queue.online(), 0, decisions, nowNanos);
-    interrupt(queue.online().size(), work.running(), urgentSlots(total), decisions);
+    placeOnline(service, queue, decisions, nowNanos);
+    interrupt(queue.online().size(), work.running(), rules.urgentSlots(total), decisions);
     if (queue.online().isEmpty()) {
       int reserve = (int) Math.ceil(total * rules.onlineReserveFraction());
-      placeAll(service, queue.timelyItems(nowNanos), reserve, decisions, nowNanos);
+      int itemLimit = startsItems ? Integer.MAX_VALUE : 0;
+      place(service, queue.timelyItems(nowNanos), itemLimit, reserve, decisions, nowNanos);
       placeAll(service, queue.late(), 0, decisions, nowNanos);
-      placeAll(service, queue.lateItems(nowNanos), reserve, decisions, nowNanos);
+      place(service, queue.lateItems(nowNanos), itemLimit, reserve, decisions, nowNanos);
     }
+    addRefusals(refusals.refuseLate(queue, work.running(), nowNanos), decisions);
     return decisions.build();
   }
 
-  /**
-   * Refuses the online demands that waited past their objective, so that the caller can try again
-   * in time. A repeated demand is kept waiting for a while longer, behind all that can be on time.
-   */
-  private void moveLate(
-      WaitingQueue queue, ImmutableList.Builder<Decision> decisions, long nowNanos) {
-    for (Iterator<Demand> demands = queue.online().iterator(); demands.hasNext(); ) {
-      Demand demand = demands.next();
-      if (nowNanos - demand.objectiveNanos() > 0) {
-        demands.remove();
-        if (demand.repeated()) {
-          queue.late().add(demand);
-        } else {
-          refuseWaiting(demand, decisions);
-        }
-      }
-    }
-    for (Iterator<Demand> demands = queue.late().iterator(); demands.hasNext(); ) {
-      Demand demand = demands.next();
-      double maxLateNanos =
-          (demand.deadlineNanos() - demand.objectiveNanos()) * rules.lateWaitFraction();
-      if (nowNanos - demand.objectiveNanos() > maxLateNanos) {
-        demands.remove();
-        refuseWaiting(demand, decisions);
-      }
-    }
+  private void addRefusals(
+      ImmutableList<Decision> refused, ImmutableList.Builder<Decision> decisions) {
+    refused.forEach(refusal -> waiting.remove(refusal.demand()));
+    decisions.addAll(refused);
   }
 
-  /** Refuses the online demands that wait for servers all of which are leaving by now. */
-  private void refuseUnplaceable(WaitingQueue queue, ImmutableList.Builder<Decision> decisions) {
-    for (NavigableSet<Demand> demands : ImmutableList.of(queue.online(), queue.late())) {
-      for (Demand demand : ImmutableList.copyOf(Sets.filter(demands, slots::areAllLeaving))) {
-        demands.remove(demand);
-        waiting.remove(demand.id());
-        decisions.add(refused(demand, RefusalReason.NO_BACKEND, NO_BACKEND_RETRY_DELAY.toNanos()));
+  /** Places the online demands that can still be on time, in the order of their queue. */
+  private void placeOnline(
+      String service,
+      WaitingQueue queue,
+      ImmutableList.Builder<Decision> decisions,
+      long nowNanos) {
+    int placeable = queue.online().isEmpty() ? 0 : slots.free(service, nowNanos);
+    List<FairQueue.Entry> passedOver = new ArrayList<>();
+    int unplaceable = 0;
+    while (placeable > 0 && unplaceable < MAX_PASSED_OVER) {
+      Optional<FairQueue.Entry> next = queue.online().poll();
+      if (next.isEmpty()) {
+        break;
+      }
+      Demand demand = next.get().demand();
+      Optional<BackendServer> backend = slots.choose(demand, rateLimits.fraction(), nowNanos);
+      if (backend.isPresent()) {
+        queue.online().charge(next.get(), nowNanos);
+        queue.servedShares().record(demand, true);
+        placeAt(demand, backend.get().id(), decisions, nowNanos);
+        placeable--;
+      } else {
+        passedOver.add(next.get());
+        unplaceable += demand.excluded().isEmpty() ? 1 : 0;
       }
     }
-  }
-
-  private void refuseWaiting(Demand demand, ImmutableList.Builder<Decision> decisions) {
-    waiting.remove(demand.id());
-    decisions.add(refused(demand, RefusalReason.WAITED_TOO_LONG, 0));
+    passedOver.forEach(entry -> queue.online().add(entry, nowNanos));
   }
 
   private void placeAll(
@@ -425,15 +402,19 @@
         continue;
       }
       remaining.remove();
-      waiting.remove(demand.id());
-      BackendServerId id = backend.get().id();
-      slots.load(id).placed(nowNanos);
-      addRunning(demand, id, nowNanos);
-      decisions.add(new Decision.Placed(demand.id(), id));
+      placeAt(demand, backend.get().id(), decisions, nowNanos);
       placeable--;
     }
   }
 
+  private void placeAt(
+      Demand demand, BackendServerId id, ImmutableList.Builder<Decision> decisions, long nowNanos) {
+    waiting.remove(demand.id());
+    slots.load(id).placed(nowNanos);
+    addRunning(demand, id, nowNanos);
+    decisions.add(new Decision.Placed(demand.id(), id));
+  }
+
   private static void interrupt(
       int wanted, RunningWork running, int reserved, ImmutableList.Builder<Decision> decisions) {
     int missing = wanted - running.revokedCount();
@@ -447,10 +428,6 @@
   }
 
   private ServiceWork work(String service) {
-    return services.computeIfAbsent(
-        service,
-        key ->
-            new ServiceWork(
-                new WaitingQueue(rules.initialServiceTime().toNanos()), new RunningWork()));
+    return services.computeIfAbsent(service, key -> ServiceWork.create(rules, weights, random));
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -48,9 +48,9 @@
  *
  * <p>The dispatching host is the holder of the newest term that this host knows, while this host
  * reaches it; see {@link DispatchElection}. While it reaches none, the host dispatches for itself,
- * with its part of the slots and of each limit. When the dispatching host changes, waiting demands
- * are submitted to the new one and running work is reported to it. Used only on the event loop's
- * thread.
+ * with its part of each limit, and takes the rejections of backend servers as backpressure. When
+ * the dispatching host changes, waiting demands are submitted to the new one and running work is
+ * reported to it. Used only on the event loop's thread.
  */
 public final class PlacementClient {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
@@ -73,6 +73,7 @@
   private final TermClaimer claimer;
   private final LongSupplier nanoClock;
   private final EventLog log;
+  private final RefusalLog refusalLog;
   private final Map<Long, Call> calls = new LinkedHashMap<>();
   private final HostLinks links;
   private final DispatchServer server;
@@ -141,6 +142,7 @@
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.log = checkNotNull(log, "log");
     this.leavingServers = new LeavingServerReports(self.host(), leaving, log);
+    this.refusalLog = new RefusalLog(log);
     this.election = new DispatchElection(self.host(), self.startedMillis(), ElectionRules.DEFAULT);
     this.claimer =
         new TermClaimer(election, terms, canDispatch, connectedToPlatform, nanoClock, log);
@@ -164,7 +166,7 @@
             this::apply,
             this::receiveLeaving,
             this::updateShares);
-    this.shares = new SlotShares(self, fleet, dispatcher, server);
+    this.shares = new SlotShares(self, dispatcher, server);
   }
 
   /** Starts the client; a host that does not serve callers also starts to accept links. */
@@ -617,6 +619,7 @@
 
   private void apply(ImmutableList<Decision> decisions) {
     for (Decision decision : decisions) {
+      refusalLog.add(decision, nanoClock.getAsLong());
       DemandId id = decision.demand();
       if (id.host().equals(self.host())) {
         applyLocally(decision);
