--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/LoadReplay.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/LoadReplay.java
@@ -14,6 +14,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.protocol.BackendServerId;
@@ -192,7 +193,8 @@
         fleet,
         DispatchRules.DEFAULT,
         random::nextDouble,
-        new PartQuarantine(QuarantineRules.DEFAULT));
+        new PartQuarantine(QuarantineRules.DEFAULT),
+            new LeavingServers());
   }
 
   /** Runs the load, and returns all requests. */
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/NoDispatchingHostTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/NoDispatchingHostTest.java
@@ -18,6 +18,7 @@
 import org.trefoilbarrow.coordination.dispatch.LoadReplay.Load;
 import org.trefoilbarrow.coordination.dispatch.LoadReplay.Request;
 import org.trefoilbarrow.coordination.dispatch.LoadReplay.Window;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.protocol.BackendServerId;
@@ -56,7 +57,8 @@
             fleet,
             DispatchRules.DEFAULT,
             new Random(20261206)::nextDouble,
-            new PartQuarantine(QuarantineRules.DEFAULT));
+            new PartQuarantine(QuarantineRules.DEFAULT),
+            new LeavingServers());
     dispatcher.setScope(PlacementScope.OWN_HOST);
   }
 
--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/RefusalsTest.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/RefusalsTest.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.protocol.BackendServerId;
@@ -41,7 +42,8 @@
             fleet,
             DispatchRules.DEFAULT,
             new Random(20261206)::nextDouble,
-            new PartQuarantine(QuarantineRules.DEFAULT));
+            new PartQuarantine(QuarantineRules.DEFAULT),
+            new LeavingServers());
   }
 
   private Demand demand(String organisation, String route, long objectiveMillis, boolean batch) {
