--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -456,12 +456,14 @@
             () -> configuration.onProbed(platform.probe()),
             () -> {
               log.add("platform", "lost");
+              backends.onOutage();
               watches.setLost(true);
             },
             () -> {
               log.add("platform", "regained");
-              watches.setLost(false);
+              backends.onOutage();
               platform.abortWatches();
+              watches.setLost(false);
             })
         .start();
   }
--- a/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
@@ -30,13 +30,19 @@
    */
   private static final Duration RELAY_RESPONSE_TIMEOUT = Duration.ofMillis(1500);
 
+  /**
+   * The longest wait of a watch that other hosts depend on: when its response is lost, they are
+   * behind for no longer than a host may be after trouble of the platform.
+   */
+  private static final Duration RELAY_MAX_WAIT = Duration.ofSeconds(4);
+
   private static final Duration RELAY_PROBE_INTERVAL = Duration.ofMillis(500);
 
   private final boolean relays;
   private final int minHosts;
   private final Platform platform;
   private final PlacementClient.MessageHandler handler;
-  private final OutageGate gate = new OutageGate();
+  private final OutageGate gate = new OutageGate(OutageGate.MAX_WAIT);
   private volatile int hostCount;
 
   /**
@@ -68,7 +74,7 @@
               nanoClock);
       relay.start();
       metrics.gauge("watches_served_to_peers", relay::servedCount);
-      this.platform = new RecordedPlatform(platform, relay, gate);
+      this.platform = new RecordedPlatform(platform, relay, gate, this::maxWait);
       this.handler = relay;
     } else {
       PeerWatches peers =
@@ -112,6 +118,10 @@
     gate.setLost(lost && isLargeFleet());
   }
 
+  private Duration maxWait() {
+    return isLargeFleet() ? RELAY_MAX_WAIT : Duration.ofMinutes(1);
+  }
+
   private boolean isLargeFleet() {
     return hostCount >= minHosts;
   }
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -78,6 +78,11 @@
     return usable(service).stream().anyMatch(leaving::isLeaving);
   }
 
+  /** Returns whether all servers of a service have stated that they are leaving. */
+  boolean areAllLeaving(String service) {
+    return usable(service).stream().allMatch(leaving::isLeaving);
+  }
+
   /**
    * Returns whether all servers that the platform lists as ready for a demand have stated that they
    * are leaving. Each of them ends soon, so a slot of theirs is not worth waiting for.
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairQueue.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/FairQueue.java
@@ -42,6 +42,7 @@
   private final Multiset<String> routes = HashMultiset.create();
   private final TreeSet<Entry> byObjective = new TreeSet<>(BY_OBJECTIVE);
   private double served;
+  private boolean charged;
   private long landmarkNanos;
 
   /**
@@ -127,6 +128,10 @@
 
   /** Charges a demand that was polled and got a slot to its organisation. */
   void charge(Entry entry, long nowNanos) {
+    if (!charged) {
+      charged = true;
+      landmarkNanos = nowNanos;
+    }
     double exponent = (nowNanos - landmarkNanos) / SHARE_TIME_CONSTANT_NANOS;
     if (exponent > MAX_EXPONENT || exponent < 0) {
       double factor = Math.exp(-exponent);
--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Refusals.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/Refusals.java
@@ -79,10 +79,12 @@
     if (!slots.hasLeaving(service)) {
       return ImmutableList.of();
     }
+    boolean hasOthers = !slots.areAllLeaving(service);
     ImmutableList.Builder<Decision> refusals = ImmutableList.builder();
     for (Demand demand :
         Iterables.concat(waiting.online().demands(), List.copyOf(waiting.late()))) {
-      if (slots.areAllLeaving(demand)) {
+      boolean mayBePlaced = hasOthers && demand.excluded().isEmpty();
+      if (!mayBePlaced && slots.areAllLeaving(demand)) {
         waiting.remove(demand);
         refusals.add(noBackend(demand));
       }
@@ -107,14 +109,15 @@
       Demand demand, WaitingQueue waiting, RunningWork running, int total, long nowNanos) {
     FairQueue.Backlog backlog = waiting.online().backlogBefore(demand, nowNanos);
     double serviceNanos = waiting.slotTimes().meanNanos();
-    int available =
+    int freeable =
         slots.free(demand.service(), nowNanos)
             + running.interruptibleCount(rules.urgentSlots(total))
-            + running.revokedCount()
-            - slots.overbooked(demand.service(), nowNanos);
+            + running.revokedCount();
+    boolean hasSlot = freeable > waiting.online().size();
+    int available = freeable - slots.overbooked(demand.service(), nowNanos);
     double returns = waiting.returnTimes().queueFactor(FairQueue.organisationOf(demand), nowNanos);
     double excess = backlog.slotNanos() / serviceNanos * returns + 1 - available;
-    long waitNanos = excess < 1e-6 ? 0 : (long) (excess * serviceNanos / total);
+    long waitNanos = hasSlot || excess < 1e-6 ? 0 : (long) (excess * serviceNanos / total);
     return new QueueState(
         FairQueue.organisationOf(demand),
         backlog.queueLength(),
--- a/server/src/main/java/org/trefoilbarrow/state/ChangeLog.java
+++ b/server/src/main/java/org/trefoilbarrow/state/ChangeLog.java
@@ -47,7 +47,7 @@
     }
   }
 
-  /** Records what the watch returned that began last. */
+  /** Records what the watch returned that {@link #beginWatch} was called for last. */
   public synchronized void append(ChangeBatch batch) {
     checkNotNull(batch, "batch");
     if (!batch.changes().isEmpty()) {
@@ -70,6 +70,9 @@
     if (!started || revision < startRevision) {
       return Optional.empty();
     }
+    if (revision >= endRevision) {
+      return Optional.of(new ChangeBatch(revision, ImmutableList.of()));
+    }
     ImmutableList.Builder<ObjectChange> changes = ImmutableList.builder();
     for (ChangeBatch batch : batches) {
       if (batch.revision() > revision) {
@@ -79,6 +82,11 @@
     return Optional.of(new ChangeBatch(Math.max(revision, endRevision), changes.build()));
   }
 
+  /** Returns the newest revision of the log; 0 before the first watch. */
+  public synchronized long endRevision() {
+    return endRevision;
+  }
+
   private static long size(ChangeBatch batch) {
     return batch.changes().stream()
         .mapToLong(
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
@@ -154,7 +154,11 @@
 
   /** Prefers a peer in the own failure domain, as bytes between domains may be expensive. */
   private Optional<HostId> choosePeer(ObjectKind kind) {
-    ImmutableList<PeerAddress> peers = livePeers.get();
+    // Hosts of earlier versions register without a failure domain, and answer no watches.
+    ImmutableList<PeerAddress> peers =
+        livePeers.get().stream()
+            .filter(peer -> !peer.failureDomain().isEmpty())
+            .collect(ImmutableList.toImmutableList());
     ImmutableList<HostId> near =
         peers.stream()
             .filter(peer -> peer.failureDomain().equals(self.failureDomain()))
@@ -171,7 +175,9 @@
         livePeers.get().stream().map(PeerAddress::host).collect(ImmutableList.toImmutableList());
     for (Map.Entry<Long, PeerWatch> entry : ImmutableList.copyOf(watches.entrySet())) {
       PeerWatch watch = entry.getValue();
-      if (watch.peer.isEmpty()) {
+      if (watch.peer.isEmpty() && !mayGetPeer()) {
+        end(entry.getKey(), WatchAnswer.UNAVAILABLE);
+      } else if (watch.peer.isEmpty()) {
         send(entry.getKey(), watch);
       } else if (!live.contains(watch.peer.get())) {
         end(entry.getKey(), WatchAnswer.UNAVAILABLE);
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RecordedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RecordedPlatform.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.ObjectPage;
@@ -16,23 +17,37 @@
   private final Platform platform;
   private final WatchRelay relay;
   private final OutageGate gate;
+  private final Supplier<Duration> maxWait;
 
-  /** Creates a platform that passes what its watches return to the relay. */
-  public RecordedPlatform(Platform platform, WatchRelay relay, OutageGate gate) {
+  /**
+   * Creates a platform that passes what its watches return to the relay.
+   *
+   * @param maxWait the longest wait of one watch: a watch whose response is lost keeps the changes
+   *     from all receivers until its wait is over
+   */
+  public RecordedPlatform(
+      Platform platform, WatchRelay relay, OutageGate gate, Supplier<Duration> maxWait) {
     this.platform = checkNotNull(platform, "platform");
     this.relay = checkNotNull(relay, "relay");
     this.gate = checkNotNull(gate, "gate");
+    this.maxWait = checkNotNull(maxWait, "maxWait");
   }
 
   @Override
   public Optional<ChangeBatch> watch(ObjectKind kind, long afterRevision, Duration wait) {
-    gate.await();
+    gate.awaitRegained();
     relay.beginWatch(kind, afterRevision);
     try {
-      Optional<ChangeBatch> batch = platform.watch(kind, afterRevision, wait);
-      batch.ifPresent(changes -> relay.append(kind, changes));
+      Optional<ChangeBatch> batch =
+          platform.watch(kind, afterRevision, shorter(wait, maxWait.get()));
+      if (batch.isPresent()) {
+        relay.append(kind, batch.get());
+      } else {
+        relay.pause(kind);
+      }
       return batch;
     } catch (PlatformException e) {
+      relay.pause(kind);
       relay.endWaiting(kind);
       throw e;
     }
@@ -55,10 +70,19 @@
 
   @Override
   public ObjectPage list(ObjectKind kind, String prefix, String after, int limit) {
-    ObjectPage page = platform.list(kind, prefix, after, limit);
-    if (prefix.isEmpty()) {
-      relay.addPage(kind, page, after.isEmpty());
+    try {
+      ObjectPage page = platform.list(kind, prefix, after, limit);
+      if (prefix.isEmpty()) {
+        relay.addPage(kind, page, after.isEmpty());
+      }
+      return page;
+    } catch (PlatformException e) {
+      relay.endWaiting(kind);
+      throw e;
     }
-    return page;
+  }
+
+  private static Duration shorter(Duration first, Duration second) {
+    return first.compareTo(second) < 0 ? first : second;
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
@@ -41,7 +41,7 @@
       snapshots.put(kind, snapshot.page());
       return Optional.empty();
     }
-    gate.await();
+    gate.awaitRegained();
     return platform.watch(kind, afterRevision, wait);
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/WatchRelay.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/WatchRelay.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -31,6 +32,12 @@
  * themselves. Except where stated, used only on the event loop's thread.
  */
 public final class WatchRelay implements PlacementClient.MessageHandler {
+  /**
+   * How long receivers wait while this host reads a collection again, so that one list serves all
+   * of them.
+   */
+  private static final Duration MAX_PAUSE = Duration.ofSeconds(1);
+
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
   /** The most characters of changes that are kept for one collection. */
@@ -42,6 +49,7 @@
   private final Map<ObjectKind, ChangeLog> logs;
   private final Map<ObjectKind, CollectionCopy> copies;
   private final Map<ObjectKind, List<Waiting>> waiting = new EnumMap<>(ObjectKind.class);
+  private final Map<ObjectKind, Long> pausedSinceNanos = new ConcurrentHashMap<>();
   private long servedCount;
 
   /** A watch that waits for a change. */
@@ -81,6 +89,7 @@
   void beginWatch(ObjectKind kind, long afterRevision) {
     ChangeLog log = logs.get(kind);
     if (log != null) {
+      pausedSinceNanos.remove(kind);
       log.beginWatch(afterRevision);
     }
   }
@@ -103,6 +112,14 @@
     }
   }
 
+  /**
+   * Records that this host watches a collection no more until it has read it again. May be called
+   * on any thread.
+   */
+  void pause(ObjectKind kind) {
+    pausedSinceNanos.put(kind, nanoClock.getAsLong());
+  }
+
   /**
    * Tells the hosts whose watches wait to ask the platform, after a watch of this host has failed.
    * May be called on any thread.
@@ -146,7 +163,11 @@
 
   /** Answers a watch if it need not wait; returns whether it was answered. */
   private boolean serve(ObjectKind kind, Waiting watch) {
-    if (!connectedToPlatform.getAsBoolean()) {
+    Long pausedNanos = pausedSinceNanos.get(kind);
+    if (pausedNanos != null && nanoClock.getAsLong() - pausedNanos < MAX_PAUSE.toNanos()) {
+      return false;
+    }
+    if (pausedNanos != null || !connectedToPlatform.getAsBoolean()) {
       answer(watch.reply(), watch.number(), WatchAnswer.UNAVAILABLE);
       return true;
     }
@@ -160,12 +181,19 @@
           watch.reply(),
           watch.number(),
           batch
-              .<WatchAnswer>map(WatchAnswer.Changes::new)
+              .map(changes -> changesAfter(kind, watch.afterRevision(), changes))
               .orElseGet(() -> snapshotAfter(kind, watch.afterRevision())));
     }
     return !waits;
   }
 
+  /** Returns the changes, unless the receiver has read newer ones than this host knows. */
+  private WatchAnswer changesAfter(ObjectKind kind, long revision, ChangeBatch changes) {
+    return logs.get(kind).endRevision() < revision
+        ? WatchAnswer.UNAVAILABLE
+        : new WatchAnswer.Changes(changes);
+  }
+
   /** Returns all objects, unless the receiver has newer ones. */
   private WatchAnswer snapshotAfter(ObjectKind kind, long revision) {
     return copies
@@ -181,7 +209,7 @@
   }
 
   private void answer(Reply reply, long number, WatchAnswer answer) {
-    servedCount++;
+    servedCount += answer.equals(WatchAnswer.UNAVAILABLE) ? 0 : 1;
     reply.send(WatchMessages.result(number, answer));
   }
 }
--- a/server/src/test/java/org/trefoilbarrow/transport/watch/WatchesThroughPeersTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/watch/WatchesThroughPeersTest.java
@@ -45,7 +45,7 @@
   private static final ObjectKind KIND = ObjectKind.BACKEND_SERVER;
   private static final Duration WAIT = Duration.ofSeconds(60);
 
-  private final OutageGate gate = new OutageGate();
+  private final OutageGate gate = new OutageGate(Duration.ofHours(1));
   private EventLoopGroup group;
   private EventLoop loop;
   private CountingPlatform platform;
@@ -56,6 +56,7 @@
   /** A platform with one object, which counts the calls of hosts that serve callers. */
   private static final class CountingPlatform implements Platform {
     final AtomicInteger callerWatches = new AtomicInteger();
+    final AtomicInteger failures = new AtomicInteger();
     private final List<ObjectChange> changes = new ArrayList<>();
     private boolean available = true;
 
@@ -81,6 +82,7 @@
         }
       }
       if (!available) {
+        failures.incrementAndGet();
         throw new PlatformException("the platform is down", null, true);
       }
       int from = (int) Math.min(after, changes.size());
@@ -164,7 +166,7 @@
       relay =
           new WatchRelay(loop, ImmutableList.of(KIND), () -> connectedToPlatform, System::nanoTime);
       relay.start();
-      watch(new RecordedPlatform(platform, relay, gate), new ConcurrentHashMap<>());
+      watch(new RecordedPlatform(platform, relay, gate, () -> WAIT), new ConcurrentHashMap<>());
     }
   }
 
@@ -242,6 +244,10 @@
 
   private void changeEverywhere(String value) {
     platform.change(value);
+    awaitEverywhere(value);
+  }
+
+  private void awaitEverywhere(String value) {
     Eventually.that(
         value + " everywhere",
         () -> callers.stream().allMatch(caller -> value.equals(caller.objects.get("a"))));
@@ -269,7 +275,6 @@
     Runnable cutOne =
         () -> {
           relays.get(0).connectedToPlatform = false;
-          relays.get(0).relay.endWaiting(KIND);
         };
     Runnable loseAll =
         () -> {
@@ -298,31 +303,34 @@
   @Test
   public void changeDuringAnOutageOfThePlatformArrivesAfterIt() {
     platform.setAvailable(false);
+    Eventually.that("a host has noticed the outage", () -> platform.callerWatches.get() > 0);
     platform.change("during the outage");
     platform.setAvailable(true);
-    Eventually.that(
-        "the change of the outage everywhere",
-        () ->
-            callers.stream()
-                .allMatch(caller -> "during the outage".equals(caller.objects.get("a"))));
+    awaitEverywhere("during the outage");
     changeEverywhere("after the outage");
   }
 
+  /** Without the gate, each host would watch the platform again and again while it is down. */
   @Test
-  public void outageThatTheProbeHasNoticedTakesFewWatches() {
+  public void outageThatTheProbeHasNoticedTakesNoWatches() {
     gate.setLost(true);
     platform.setAvailable(false);
+    Eventually.that("the peers have noticed", () -> platform.failures.get() >= relays.size());
+    Eventually.pause(Duration.ofMillis(300));
+    assertEquals(platform.callerWatches.get(), 0);
     platform.change("during the outage");
     platform.setAvailable(true);
     gate.setLost(false);
+    awaitEverywhere("during the outage");
+  }
+
+  /** A peer that has lost its place and can't read the collection knows of no changes. */
+  @Test
+  public void peerThatDoesNotWatchSendsItsReceiversToThePlatform() {
+    onLoop(() -> relays.forEach(host -> host.relay.pause(KIND)));
     Eventually.that(
-        "the change of the outage everywhere",
-        () ->
-            callers.stream()
-                .allMatch(caller -> "during the outage".equals(caller.objects.get("a"))));
-    assertTrue(
-        platform.callerWatches.get() <= 2 * CALLER_HOSTS,
-        platform.callerWatches.get() + " watches");
+        "the hosts watch the platform", () -> platform.callerWatches.get() >= CALLER_HOSTS);
+    changeEverywhere("after the pause");
   }
 
   /** The history of the platform is gone, so that the peers read the collection again. */
