--- a/server/src/test/java/org/trefoilbarrow/coordination/dispatch/LoadReplay.java
+++ b/server/src/test/java/org/trefoilbarrow/coordination/dispatch/LoadReplay.java
@@ -194,7 +194,7 @@
         DispatchRules.DEFAULT,
         random::nextDouble,
         new PartQuarantine(QuarantineRules.DEFAULT),
-            new LeavingServers());
+        new LeavingServers());
   }
 
   /** Runs the load, and returns all requests. */
