Pass the platform's calls on in one class, and look for leaving servers only if there are any

Cause: RecordedPlatform, RelayedPlatform and a test each repeated the calls that they pass on unchanged; and each assignment of slots looked at all servers of a service for one that is leaving, mostly in vain.

Change: ForwardingPlatform passes all calls on, and the three extend it. BackendSlots.hasLeaving answers at once while no server has stated that it is leaving. No change of behaviour intended.

--- a/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/dispatch/BackendSlots.java
@@ -75,7 +75,7 @@
 
   /** Returns whether any server of a service has stated that it is leaving. */
   boolean hasLeaving(String service) {
-    return usable(service).stream().anyMatch(leaving::isLeaving);
+    return leaving.count() > 0 && usable(service).stream().anyMatch(leaving::isLeaving);
   }
 
   /** Returns whether all servers of a service have stated that they are leaving. */
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RecordedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RecordedPlatform.java
@@ -6,15 +6,14 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.trefoilbarrow.state.ChangeBatch;
+import org.trefoilbarrow.state.ForwardingPlatform;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.ObjectPage;
 import org.trefoilbarrow.state.Platform;
 import org.trefoilbarrow.state.PlatformException;
-import org.trefoilbarrow.state.VersionedObject;
 
 /** A platform whose watches are recorded for the hosts that continue theirs here. Thread-safe. */
-public final class RecordedPlatform implements Platform {
-  private final Platform platform;
+public final class RecordedPlatform extends ForwardingPlatform {
   private final WatchRelay relay;
   private final OutageGate gate;
   private final Supplier<Duration> maxWait;
@@ -27,7 +26,7 @@
    */
   public RecordedPlatform(
       Platform platform, WatchRelay relay, OutageGate gate, Supplier<Duration> maxWait) {
-    this.platform = checkNotNull(platform, "platform");
+    super(platform);
     this.relay = checkNotNull(relay, "relay");
     this.gate = checkNotNull(gate, "gate");
     this.maxWait = checkNotNull(maxWait, "maxWait");
@@ -38,8 +37,7 @@
     gate.awaitRegained();
     relay.beginWatch(kind, afterRevision);
     try {
-      Optional<ChangeBatch> batch =
-          platform.watch(kind, afterRevision, shorter(wait, maxWait.get()));
+      Optional<ChangeBatch> batch = super.watch(kind, afterRevision, shorter(wait, maxWait.get()));
       if (batch.isPresent()) {
         relay.append(kind, batch.get());
       } else {
@@ -53,25 +51,10 @@
     }
   }
 
-  @Override
-  public Optional<VersionedObject> read(ObjectKind kind, String name) {
-    return platform.read(kind, name);
-  }
-
-  @Override
-  public Optional<Long> write(ObjectKind kind, String name, long expectedVersion, String value) {
-    return platform.write(kind, name, expectedVersion, value);
-  }
-
-  @Override
-  public Optional<Long> delete(ObjectKind kind, String name, long expectedVersion) {
-    return platform.delete(kind, name, expectedVersion);
-  }
-
   @Override
   public ObjectPage list(ObjectKind kind, String prefix, String after, int limit) {
     try {
-      ObjectPage page = platform.list(kind, prefix, after, limit);
+      ObjectPage page = super.list(kind, prefix, after, limit);
       if (prefix.isEmpty()) {
         relay.addPage(kind, page, after.isEmpty());
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
@@ -7,17 +7,16 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.trefoilbarrow.state.ChangeBatch;
+import org.trefoilbarrow.state.ForwardingPlatform;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.ObjectPage;
 import org.trefoilbarrow.state.Platform;
-import org.trefoilbarrow.state.VersionedObject;
 
 /**
  * A platform whose watches go through a peer while one can serve them, and to the platform
  * otherwise. All other calls go to the platform. Thread-safe.
  */
-public final class RelayedPlatform implements Platform {
-  private final Platform platform;
+public final class RelayedPlatform extends ForwardingPlatform {
   private final PeerWatches peers;
   private final OutageGate gate;
 
@@ -26,7 +25,7 @@
 
   /** Creates a platform that prefers the watches of peers. */
   public RelayedPlatform(Platform platform, PeerWatches peers, OutageGate gate) {
-    this.platform = checkNotNull(platform, "platform");
+    super(platform);
     this.peers = checkNotNull(peers, "peers");
     this.gate = checkNotNull(gate, "gate");
   }
@@ -42,22 +41,7 @@
       return Optional.empty();
     }
     gate.awaitRegained();
-    return platform.watch(kind, afterRevision, wait);
-  }
-
-  @Override
-  public Optional<VersionedObject> read(ObjectKind kind, String name) {
-    return platform.read(kind, name);
-  }
-
-  @Override
-  public Optional<Long> write(ObjectKind kind, String name, long expectedVersion, String value) {
-    return platform.write(kind, name, expectedVersion, value);
-  }
-
-  @Override
-  public Optional<Long> delete(ObjectKind kind, String name, long expectedVersion) {
-    return platform.delete(kind, name, expectedVersion);
+    return super.watch(kind, afterRevision, wait);
   }
 
   @Override
@@ -66,6 +50,6 @@
         prefix.isEmpty() && after.isEmpty()
             ? Optional.ofNullable(snapshots.remove(kind))
             : Optional.empty();
-    return snapshot.orElseGet(() -> platform.list(kind, prefix, after, limit));
+    return snapshot.orElseGet(() -> super.list(kind, prefix, after, limit));
   }
 }
--- a/server/src/test/java/org/trefoilbarrow/transport/watch/WatchesThroughPeersTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/watch/WatchesThroughPeersTest.java
@@ -25,6 +25,7 @@
 import org.trefoilbarrow.fleet.Eventually;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.state.ChangeBatch;
+import org.trefoilbarrow.state.ForwardingPlatform;
 import org.trefoilbarrow.state.ObjectChange;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.ObjectPage;
@@ -120,37 +121,18 @@
   }
 
   /** The platform as hosts that serve callers use it, with their watches counted. */
-  private static final class CallerView implements Platform {
-    private final CountingPlatform platform;
+  private static final class CallerView extends ForwardingPlatform {
+    private final AtomicInteger watches;
 
     CallerView(CountingPlatform platform) {
-      this.platform = platform;
+      super(platform);
+      this.watches = platform.callerWatches;
     }
 
     @Override
     public Optional<ChangeBatch> watch(ObjectKind kind, long after, Duration wait) {
-      platform.callerWatches.incrementAndGet();
-      return platform.watch(kind, after, wait);
-    }
-
-    @Override
-    public ObjectPage list(ObjectKind kind, String prefix, String after, int limit) {
-      return platform.list(kind, prefix, after, limit);
-    }
-
-    @Override
-    public Optional<VersionedObject> read(ObjectKind kind, String name) {
-      return platform.read(kind, name);
-    }
-
-    @Override
-    public Optional<Long> write(ObjectKind kind, String name, long expectedVersion, String value) {
-      return platform.write(kind, name, expectedVersion, value);
-    }
-
-    @Override
-    public Optional<Long> delete(ObjectKind kind, String name, long expectedVersion) {
-      return platform.delete(kind, name, expectedVersion);
+      watches.incrementAndGet();
+      return super.watch(kind, after, wait);
     }
   }
 
