--- a/review/stand-ins-2/NewReader.java
+++ b/review/stand-ins-2/NewReader.java
@@ -5,8 +5,9 @@
 /** A job host is added while clients read results that they have read before. */
 final class NewReader {
   private static final Worker.Kind MODEL = new Worker.Kind("lemodel", 8, 24, 134_354, 209, 300, 1);
-  private static final int JOBS = 70;
+  private static final int JOBS = 140;
   private static final int SETTLE_MILLIS = 1000;
+  private static final int CONTACT_MILLIS = 3000;
 
   public static void main(String[] arguments) {
     Deployment.run(arguments[0], NewReader::holds);
@@ -42,18 +43,21 @@
     deployment.note(read.size() + " of " + jobs.size() + " jobs read from position 0 to the end");
     Thread.sleep(SETTLE_MILLIS + 500);
     long addedMillis = deployment.millis();
+    Fleet.Host added = null;
     if (deployment.trouble) {
-      deployment.fleet.start("store-zone-a-2", "jobs", "zone-a");
-      deployment.note("a machine with a disk is added");
+      added = deployment.fleet.start("store-zone-a-2", "jobs", "zone-a");
+      deployment.note("the new machine that will replace store-zone-a has started");
     }
     int empty = 0;
     int reads = 0;
+    int late = 0;
     while (deployment.millis() - addedMillis < 15_000) {
       for (int index = 0; index < read.size(); index++) {
         Fleet.Host host = callers.get(index % callers.size());
         int found = first(deployment, host, read.get(index));
         reads++;
         if (found == 0) {
+          late += deployment.millis() - addedMillis > CONTACT_MILLIS ? 1 : 0;
           empty++;
           deployment.note(
               "job " + read.get(index) + ", after=0, at " + host.name()
@@ -62,8 +66,12 @@
         }
       }
     }
-    deployment.note(reads + " reads, " + empty + " without the results that had been read");
-    return empty == 0;
+    deployment.note(
+        reads + " reads, " + empty + " without the results that had been read, " + late
+            + " of these later than contactMs after the start of the new machine"
+            + (added == null ? "" : "; lines about memory in its output: "
+                + deployment.fleet.logged(added, "OutOfMemoryError")));
+    return late == 0;
   }
 
   /** Returns how many results a read from position 0 gives; -1 if it is refused. */
