--- a/review/stand-ins-2/NewReader.java
+++ b/review/stand-ins-2/NewReader.java
@@ -5,7 +5,7 @@
 /** A job host is added while clients read results that they have read before. */
 final class NewReader {
   private static final Worker.Kind MODEL = new Worker.Kind("lemodel", 8, 24, 134_354, 209, 300, 1);
-  private static final int JOBS = 140;
+  private static final int JOBS = 120;
   private static final int SETTLE_MILLIS = 1000;
   private static final int CONTACT_MILLIS = 3000;
 
