--- a/review/stand-ins-2/StuckItems.java
+++ b/review/stand-ins-2/StuckItems.java
@@ -1,17 +1,22 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One tenant's items that no worker has memory for, and then the jobs of another tenant. */
+/**
+ * One tenant's items that no worker can do, and then the jobs of another tenant. The items are larger
+ * than a worker's memory; with a second argument {@code paths} their path has a space in it instead,
+ * which is no case.
+ */
 final class StuckItems {
   private static final Worker.Kind MODEL = new Worker.Kind("lemodel", 8, 24, 134_354, 10, 60, 10);
   private static final int LARGE_JOBS = 12;
   private static final int ITEMS = 200;
 
   public static void main(String[] arguments) {
-    Deployment.run(arguments[0], StuckItems::holds);
+    boolean paths = arguments.length > 1 && arguments[1].equals("paths");
+    Deployment.run(arguments[0], deployment -> holds(deployment, paths));
   }
 
-  private static boolean holds(Deployment deployment) throws Exception {
+  private static boolean holds(Deployment deployment, boolean paths) throws Exception {
     deployment.startWorkers(MODEL, 6);
     deployment.store.put(
         "config", "main", Deployment.configuration("lemodel", List.of("large", "sound")));
@@ -25,12 +30,14 @@
     }
     Thread.sleep(4000);
     // Larger than a worker's memory of 134,354 tokens, unless there is to be no trouble.
-    int promptTokens = deployment.trouble ? 150_000 : 350;
-    for (int job = 0; job < LARGE_JOBS; job++) {
+    int promptTokens = deployment.trouble && !paths ? 150_000 : 350;
+    for (int job = 0; job < (paths ? 1 : LARGE_JOBS); job++) {
       String id = String.format("a%07x", job * 7919 + 13);
-      int status =
-          deployment.submit(
-              callers, "large", id, Deployment.job(ids(id, ITEMS), promptTokens, 400, 60));
+      String body = Deployment.job(ids(id, ITEMS), promptTokens, 400, 60);
+      if (deployment.trouble && paths) {
+        body = body.replace("/3/", "/3/stitch notes/");
+      }
+      int status = deployment.submit(callers, "large", id, body);
       deployment.note("job " + id + " of tenant large, " + ITEMS + " items: " + status);
     }
     Thread.sleep(3000);
