--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec java -Xmx2g -cp target/trefoilbarrow.jar:target/review-2 EndedJob review/9
--- a/review/stand-ins-2/Deployment.java
+++ b/review/stand-ins-2/Deployment.java
@@ -112,6 +112,12 @@
         fleet.front(host), "GET", "/-/lots/" + id + "?after=" + after, headers(tenant), "", 4000);
   }
 
+  /** Ends a batch job. */
+  int end(Fleet.Host host, String tenant, String id) {
+    return Http.status(
+        fleet.front(host), "DELETE", "/-/lots/" + id, headers(tenant), "", 4000);
+  }
+
   /** Returns the results of a batch job, at any host that answers; null if none does. */
   Map<String, JsonNode> results(List<Fleet.Host> hosts, String tenant, String id)
       throws IOException {
--- a/review/stand-ins-2/Store.java
+++ b/review/stand-ins-2/Store.java
@@ -11,8 +11,11 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** The platform's store: objects with revisions, lists in pages, watches, conditional writes. */
 final class Store {
@@ -34,6 +37,14 @@
   }
 
   private final HttpServer server;
+
+  /** The same store at a second address, where an answer to a watch can be lost. */
+  private final HttpServer lossyServer;
+
+  private final Set<String> lossyKinds = ConcurrentHashMap.newKeySet();
+  private final Map<String, Long> lossyWatchNanos = new ConcurrentHashMap<>();
+  private final AtomicInteger lostWatches = new AtomicInteger();
+  private volatile long lostNanos = System.nanoTime();
   private final Map<String, Kind> kinds = new HashMap<>();
   private final Limit writes = new Limit(400);
   private final Limit reads = new Limit(2000);
@@ -61,20 +72,59 @@
   }
 
   Store(String ip) throws IOException {
-    server = HttpServer.create(new InetSocketAddress(ip, 0), 1000);
-    server.setExecutor(
+    server = listen(ip);
+    lossyServer = listen(ip);
+  }
+
+  private HttpServer listen(String ip) throws IOException {
+    HttpServer created = HttpServer.create(new InetSocketAddress(ip, 0), 1000);
+    created.setExecutor(
         Executors.newCachedThreadPool(
             task -> {
               Thread thread = new Thread(task, "store");
               thread.setDaemon(true);
               return thread;
             }));
-    server.createContext(BASE, this::serve);
-    server.start();
+    created.createContext(BASE, this::serve);
+    created.start();
+    return created;
   }
 
   String address() {
-    return server.getAddress().getAddress().getHostAddress() + ":" + server.getAddress().getPort();
+    return address(server);
+  }
+
+  String lossyAddress() {
+    return address(lossyServer);
+  }
+
+  private static String address(HttpServer of) {
+    return of.getAddress().getAddress().getHostAddress() + ":" + of.getAddress().getPort();
+  }
+
+  /**
+   * Loses the next answer with changes to a watch of a kind at {@link #lossyAddress}; its
+   * connection stays open and returns nothing further.
+   */
+  void loseNextWatch(String kind) {
+    lossyKinds.add(kind);
+  }
+
+  /** Waits until a watch of a kind begins at {@link #lossyAddress}. */
+  void awaitWatch(String kind) throws InterruptedException {
+    long nowNanos = System.nanoTime();
+    while (lossyWatchNanos.getOrDefault(kind, nowNanos) - nowNanos <= 0) {
+      Thread.sleep(20);
+    }
+  }
+
+  /** Returns when the last answer was lost; the start if none was. */
+  long lostNanos() {
+    return lostNanos;
+  }
+
+  int lostWatches() {
+    return lostWatches.get();
   }
 
   /** Writes an object as the operator and the workers do. */
@@ -270,6 +320,10 @@
 
   private void watch(HttpExchange exchange, String kind, Map<String, String> query)
       throws IOException, InterruptedException {
+    boolean isLossy = exchange.getLocalAddress().getPort() == lossyServer.getAddress().getPort();
+    if (isLossy) {
+      lossyWatchNanos.put(kind, System.nanoTime());
+    }
     long after = Long.parseLong(query.get("watch"));
     long endNanos =
         System.nanoTime() + Math.min(30_000, Long.parseLong(query.get("waitMs"))) * 1_000_000;
@@ -300,6 +354,12 @@
         wait(left);
       }
     }
+    if (isLossy && events.length() > 0 && lossyKinds.remove(kind)) {
+      lostWatches.incrementAndGet();
+      lostNanos = System.nanoTime();
+      Thread.sleep(60_000);
+      return;
+    }
     send(exchange, asOf < 0 ? 410 : 200, page("events", events, false, asOf));
   }
 
