--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -445,8 +445,7 @@
               name -> {},
               RESULT_WATCH_DELAY));
       watchers.add(
-          objectWatchers.of(
-              ObjectKind.JOB_END, object -> jobTable.jobCancelled(object.name()), name -> {}));
+          objectWatchers.of(ObjectKind.JOB_END, this::onJobEnded, name -> {}));
       watchers.add(
           objectWatchers.of(ObjectKind.HOST_REMOVAL, this::onRemovalRequested, name -> {}));
     }
@@ -468,6 +467,11 @@
         .start();
   }
 
+  private void onJobEnded(VersionedObject object) {
+    log.add("jobs", "end known", "job", object.name(), "revision", object.version());
+    jobTable.jobCancelled(object.name());
+  }
+
   private void onDomainDrained(VersionedObject object) {
     if (drainedDomains.add(object.name())) {
       log.add("config", "domain drained", "domain", object.name());
