Tell peers which changes a host knows, so that a lost answer to a watch shows

Cause: the platform's answer to one job host's watch of ended jobs was lost on a connection that lived on. Such a watch looks like one without a change to report, so the host decided by what it knew until the wait of 15.7 s was over.

Evidence: with the line "end known", on the old code: two job hosts had all 18 ends within 2.4 s of the first, the third all of them 11.97 s after it.

Change: heartbeats carry the revision of the newest change that the sender has read or written, by collection, when it is new on that link. A watch that does not report such a change within 500 ms (1.5 s for jobs and results) is ended and begins anew from its own revision; log event "behind". The probe's revision of the configuration is one more source of the same check, so the code that CatalogFollower had for it is gone.

No call to the platform is added in calm.

--- a/server/src/main/java/org/trefoilbarrow/command/CatalogFollower.java
+++ b/server/src/main/java/org/trefoilbarrow/command/CatalogFollower.java
@@ -4,13 +4,12 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.ObjectPage;
+import org.trefoilbarrow.state.Platform;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.FleetView;
@@ -21,24 +20,17 @@
 /**
  * Keeps the configuration of a {@link FleetView} in step with the platform's.
  *
- * <p>A watch reports each change. Its answer may be lost, so the probe of the platform also tells
- * which revision there is, and decisions that cannot be taken back ask for a read.
+ * <p>A watch reports each change. Its answer may be lost, so decisions that cannot be taken back
+ * ask for a read.
  */
 final class CatalogFollower {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** How long the answer to a watch may take after a probe has found what it should report. */
-  private static final Duration WATCH_ANSWER_TIMEOUT = Duration.ofMillis(500);
-
-  private final PlatformAdapter.ConnectedPlatform platform;
   private final FleetDecoder decoder;
   private final FleetView fleet;
   private final Runnable onNewer;
-  private final Executor executor;
-  private final EventLoop loop;
   private final EventLog log;
   private final CollectionRefresher refresher;
-  private long noticedRevision;
 
   /**
    * Creates a follower of a configuration that is not known yet.
@@ -47,7 +39,7 @@
    * @param executor runs calls to the platform
    */
   CatalogFollower(
-      PlatformAdapter.ConnectedPlatform platform,
+      Platform platform,
       FleetDecoder decoder,
       FleetView fleet,
       Runnable onNewer,
@@ -55,12 +47,9 @@
       EventLoop loop,
       EventLog log,
       LongSupplier nanoClock) {
-    this.platform = checkNotNull(platform, "platform");
     this.decoder = checkNotNull(decoder, "decoder");
     this.fleet = checkNotNull(fleet, "fleet");
     this.onNewer = checkNotNull(onNewer, "onNewer");
-    this.executor = checkNotNull(executor, "executor");
-    this.loop = checkNotNull(loop, "loop");
     this.log = checkNotNull(log, "log");
     this.refresher =
         new CollectionRefresher(
@@ -77,30 +66,6 @@
     apply(object);
   }
 
-  /**
-   * Called with a revision that a probe has found. If the watch does not report it within a moment,
-   * its answer is lost.
-   */
-  void onProbed(long revision) {
-    loop.execute(
-        () -> {
-          if (revision > Math.max(fleet.catalogRevision(), noticedRevision)) {
-            noticedRevision = revision;
-            loop.schedule(
-                () -> catchUp(revision), WATCH_ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-          }
-        });
-  }
-
-  private void catchUp(long revision) {
-    if (fleet.catalogRevision() < revision) {
-      log.add("config", "behind", "revision", revision, "inForce", fleet.catalogRevision());
-      refresher.refresh();
-      // Answers to other watches may be lost with the same connections.
-      executor.execute(platform::abortWatches);
-    }
-  }
-
   private void onRead(ObjectPage page, long sinceNanos) {
     boolean isReadable = true;
     for (VersionedObject object : page.objects()) {
--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -30,11 +30,14 @@
 import org.trefoilbarrow.coordination.memory.BufferBudget;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions;
+import org.trefoilbarrow.coordination.watch.WatchedCollections;
 import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.settings.FleetHostSettings;
 import org.trefoilbarrow.state.ObjectKind;
+import org.trefoilbarrow.state.Platform;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.fleet.Catalog;
 import org.trefoilbarrow.state.fleet.FleetView;
@@ -56,6 +59,7 @@
 import org.trefoilbarrow.transport.metrics.MetricsEndpoint;
 import org.trefoilbarrow.transport.platform.CollectionWatcher;
 import org.trefoilbarrow.transport.platform.PlatformProbe;
+import org.trefoilbarrow.transport.watch.TrackedPlatform;
 
 /**
  * A host that runs on the operators' platform. It either forwards callers' requests, or dispatches
@@ -108,18 +112,6 @@
 
   private static final int PLATFORM_THREADS = 4;
 
-  private static final ImmutableList<ObjectKind> WATCHED_BY_ALL_HOSTS =
-      ImmutableList.of(
-          ObjectKind.CONFIGURATION,
-          ObjectKind.BACKEND_SERVER,
-          ObjectKind.DRAINED_DOMAIN,
-          ObjectKind.HOST,
-          ObjectKind.QUARANTINED_PART);
-
-  private static final ImmutableList<ObjectKind> WATCHED_FOR_JOBS =
-      ImmutableList.of(
-          ObjectKind.JOB, ObjectKind.RESULT, ObjectKind.JOB_END, ObjectKind.HOST_REMOVAL);
-
   private final FleetHostSettings settings;
   private final PlatformAdapter adapter;
   private final LongSupplier nanoClock;
@@ -135,6 +127,7 @@
   private final Map<String, PeerAddress> peers = new HashMap<>();
   private final Set<String> drainedDomains = new HashSet<>();
   private final PlatformAdapter.ConnectedPlatform platform;
+  private final CollectionRevisions revisions = new CollectionRevisions();
   private final FleetMetrics metrics = new FleetMetrics(new MetricRegistry());
   private final PeerAddress self;
   private final PlacementClient placements;
@@ -164,7 +157,7 @@
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.milliClock = checkNotNull(milliClock, "milliClock");
     this.startNanos = nanoClock.getAsLong();
-    this.collectionReads = new CollectionReads(watchedKinds(settings.servesCallers()));
+    this.collectionReads = new CollectionReads(WatchedCollections.of(settings.servesCallers()));
     this.shutdownSeconds = settings.shutdownSeconds();
     this.platform =
         adapter.connect(settings.platform(), settings.platformCallsPerSecond(), nanoClock);
@@ -194,6 +187,7 @@
             quarantine,
             leavingServers,
             new TermStore(platform, executor, loop),
+            revisions,
             this::canDispatch,
             this::isConnectedToPlatform,
             nanoClock,
@@ -203,25 +197,28 @@
             platform,
             self,
             placements,
-            WATCHED_BY_ALL_HOSTS,
+            revisions,
             settings.peerWatchHosts(),
             loop,
+            executor,
+            log,
             metrics,
             nanoClock);
+    Platform tracked = new TrackedPlatform(platform, revisions, nanoClock);
     this.quarantines =
         new QuarantineStore(
-            loop, self.host(), placements, platform, executor, nanoClock, milliClock, log);
+            loop, self.host(), placements, tracked, executor, nanoClock, milliClock, log);
     placements.setQuarantineListener(quarantines);
     this.registration =
         new HostRegistration(
-            platform,
+            tracked,
             self,
             adapter.decoder().removalCompletedStatus(),
             loop,
             executor,
             () -> leaving,
             log);
-    this.jobStore = new RequestJobStore(platform, settings.maxObjectBytes());
+    this.jobStore = new RequestJobStore(tracked, settings.maxObjectBytes());
     this.jobTable = new RequestJobTable(loop, jobStore, executor, !settings.servesCallers());
     this.configuration =
         new CatalogFollower(
@@ -397,15 +394,6 @@
     ingress.ifPresent(found -> found.setReady(ready));
   }
 
-  private static ImmutableList<ObjectKind> watchedKinds(boolean servesCallers) {
-    return servesCallers
-        ? WATCHED_BY_ALL_HOSTS
-        : ImmutableList.<ObjectKind>builder()
-            .addAll(WATCHED_BY_ALL_HOSTS)
-            .addAll(WATCHED_FOR_JOBS)
-            .build();
-  }
-
   private void watchFleet() {
     BackendServerWatcher backends =
         new BackendServerWatcher(
@@ -444,15 +432,15 @@
               object -> jobTable.partCreated(object.name(), object.value()),
               name -> {},
               RESULT_WATCH_DELAY));
-      watchers.add(
-          objectWatchers.of(ObjectKind.JOB_END, this::onJobEnded, name -> {}));
+      watchers.add(objectWatchers.of(ObjectKind.JOB_END, this::onJobEnded, name -> {}));
       watchers.add(
           objectWatchers.of(ObjectKind.HOST_REMOVAL, this::onRemovalRequested, name -> {}));
     }
     watchers.build().forEach(CollectionWatcher::start);
+    watches.start();
     new PlatformProbe(
             watches::probeInterval,
-            () -> configuration.onProbed(platform.probe()),
+            this::probePlatform,
             () -> {
               log.add("platform", "lost");
               backends.onOutage();
@@ -467,6 +455,12 @@
         .start();
   }
 
+  private void probePlatform() {
+    long revision = platform.probe();
+    revisions.recordTold(
+        ObjectKind.CONFIGURATION, revision, Optional.empty(), nanoClock.getAsLong());
+  }
+
   private void onJobEnded(VersionedObject object) {
     log.add("jobs", "end known", "job", object.name(), "revision", object.version());
     jobTable.jobCancelled(object.name());
--- a/server/src/main/java/org/trefoilbarrow/command/PlatformAdapter.java
+++ b/server/src/main/java/org/trefoilbarrow/command/PlatformAdapter.java
@@ -1,6 +1,7 @@
 package org.trefoilbarrow.command;
 
 import java.util.function.LongSupplier;
+import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.Platform;
 import org.trefoilbarrow.transport.forward.FleetDecoder;
 import org.trefoilbarrow.transport.forward.HttpDialect;
@@ -36,5 +37,8 @@
 
     /** Aborts all long polls, which then fail as if the platform had not responded. */
     void abortWatches();
+
+    /** Aborts the long poll of one collection in the same way. */
+    void abortWatch(ObjectKind kind);
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
@@ -4,10 +4,16 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.Collection;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions.MissedChange;
+import org.trefoilbarrow.coordination.watch.WatchedCollections;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.Platform;
+import org.trefoilbarrow.transport.forward.EventLog;
 import org.trefoilbarrow.transport.link.PeerAddress;
 import org.trefoilbarrow.transport.link.PlacementClient;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
@@ -16,6 +22,7 @@
 import org.trefoilbarrow.transport.watch.PeerWatches;
 import org.trefoilbarrow.transport.watch.RecordedPlatform;
 import org.trefoilbarrow.transport.watch.RelayedPlatform;
+import org.trefoilbarrow.transport.watch.TrackedPlatform;
 import org.trefoilbarrow.transport.watch.WatchRelay;
 
 /**
@@ -38,44 +45,64 @@
 
   private static final Duration RELAY_PROBE_INTERVAL = Duration.ofMillis(500);
 
+  /** How often the watches are checked for changes that they have missed. */
+  private static final Duration MISSED_CHECK_INTERVAL = Duration.ofMillis(100);
+
   private final boolean relays;
   private final int minHosts;
+  private final PlatformAdapter.ConnectedPlatform connection;
   private final Platform platform;
+  private final CollectionRevisions revisions;
   private final PlacementClient.MessageHandler handler;
+  private final Consumer<ObjectKind> endPeerWatches;
+  private final EventLoop loop;
+  private final Executor executor;
+  private final EventLog log;
+  private final LongSupplier nanoClock;
   private final OutageGate gate = new OutageGate(OutageGate.MAX_WAIT);
   private volatile int hostCount;
+  private long missedCount;
 
   /**
    * Creates the watches of a host.
    *
-   * @param kinds the collections that all hosts watch
+   * @param revisions the changes of collections that hosts tell each other of
    * @param minHosts the number of registered hosts from which hosts watch through each other
    */
   PlatformWatches(
-      PlatformAdapter.ConnectedPlatform platform,
+      PlatformAdapter.ConnectedPlatform connection,
       PeerAddress self,
       PlacementClient placements,
-      Collection<ObjectKind> kinds,
+      CollectionRevisions revisions,
       int minHosts,
       EventLoop loop,
+      Executor executor,
+      EventLog log,
       FleetMetrics metrics,
       LongSupplier nanoClock) {
-    checkNotNull(platform, "platform");
+    this.connection = checkNotNull(connection, "connection");
+    this.revisions = checkNotNull(revisions, "revisions");
+    this.loop = checkNotNull(loop, "loop");
+    this.executor = checkNotNull(executor, "executor");
+    this.log = checkNotNull(log, "log");
+    this.nanoClock = checkNotNull(nanoClock, "nanoClock");
     this.relays = !self.servesCallers();
     this.minHosts = minHosts;
+    Platform source;
     if (relays) {
       WatchRelay relay =
           new WatchRelay(
               loop,
-              kinds,
+              WatchedCollections.BY_ALL_HOSTS,
               () ->
-                  nanoClock.getAsLong() - platform.lastResponseNanos()
+                  nanoClock.getAsLong() - connection.lastResponseNanos()
                       < RELAY_RESPONSE_TIMEOUT.toNanos(),
               nanoClock);
       relay.start();
       metrics.gauge("watches_served_to_peers", relay::servedCount);
-      this.platform = new RecordedPlatform(platform, relay, gate, this::maxWait);
+      source = new RecordedPlatform(connection, relay, gate, this::maxWait);
       this.handler = relay;
+      this.endPeerWatches = kind -> {};
     } else {
       PeerWatches peers =
           new PeerWatches(
@@ -87,8 +114,43 @@
               () -> hostCount);
       placements.onPeersChanged(peers::onPeersChanged);
       metrics.gauge("watches_through_peers", peers::relayedCount);
-      this.platform = new RelayedPlatform(platform, peers, gate);
+      source = new RelayedPlatform(connection, peers, gate);
       this.handler = peers;
+      this.endPeerWatches = peers::endAll;
+    }
+    this.platform = new TrackedPlatform(source, revisions, nanoClock);
+    metrics.gauge("watches_begun_anew", () -> missedCount);
+  }
+
+  /** Starts to look for changes that watches have missed. */
+  void start() {
+    loop.scheduleAtFixedRate(
+        () -> revisions.takeMissed(nanoClock.getAsLong()).forEach(this::beginAnew),
+        MISSED_CHECK_INTERVAL.toMillis(),
+        MISSED_CHECK_INTERVAL.toMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends the watch that has missed a change; the watcher then begins it anew. */
+  private void beginAnew(MissedChange missed) {
+    missedCount++;
+    log.add(
+        "platform",
+        "behind",
+        "collection",
+        missed.kind().collection(),
+        "watchedAfter",
+        missed.watchedAfter(),
+        "revision",
+        missed.revision(),
+        "peers",
+        missed.peers());
+    endPeerWatches.accept(missed.kind());
+    if (missed.peers().isEmpty()) {
+      // Without peers that would tell, the other watches may have missed changes as well.
+      executor.execute(connection::abortWatches);
+    } else {
+      executor.execute(() -> connection.abortWatch(missed.kind()));
     }
   }
 
--- /dev/null
+++ b/server/src/main/java/org/trefoilbarrow/coordination/watch/CollectionRevisions.java
@@ -0,0 +1,181 @@
+package org.trefoilbarrow.coordination.watch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.state.ObjectKind;
+
+/**
+ * The newest changes of watched collections that this host has read or written, and those that its
+ * peers have.
+ *
+ * <p>A watch whose response is lost looks like one without a change to report. Hosts therefore tell
+ * each other the revisions of the changes that they know. A watch that does not report a change
+ * within a moment after a peer has told of it has missed the change.
+ *
+ * <p>Thread-safe.
+ */
+public final class CollectionRevisions {
+  /** How long a watch may take to report a change that another host knows. */
+  static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
+
+  /** The same for collections of large objects, whose responses take time to arrive. */
+  static final Duration REPORT_TIMEOUT_OF_LARGE_OBJECTS = Duration.ofMillis(1500);
+
+  private static final ImmutableSet<ObjectKind> KINDS_OF_LARGE_OBJECTS =
+      ImmutableSet.of(ObjectKind.JOB, ObjectKind.RESULT);
+
+  private final Map<ObjectKind, Collection> collections = new EnumMap<>(ObjectKind.class);
+  private long readCount;
+
+  /**
+   * A change that a watch has not reported.
+   *
+   * @param watchedAfter the revision after which the watch reports changes
+   * @param revision the revision of the change
+   * @param peers the peers that know the change; empty if only the platform told of it
+   */
+  public record MissedChange(
+      ObjectKind kind, long watchedAfter, long revision, ImmutableList<HostId> peers) {}
+
+  /** What this host has told one peer on one connection. Not thread-safe. */
+  public static final class Cursor {
+    private final ImmutableSet<ObjectKind> kinds;
+    private long toldCount;
+
+    /**
+     * Creates a cursor of a peer that was told nothing.
+     *
+     * @param kinds the collections that the peer watches
+     */
+    public Cursor(ImmutableSet<ObjectKind> kinds) {
+      this.kinds = checkNotNull(kinds, "kinds");
+    }
+  }
+
+  /** What is known of one collection. */
+  private static final class Collection {
+    long readRevision;
+    long readNumber;
+    long watchedAfter;
+    OptionalLong watchBeganNanos = OptionalLong.empty();
+    long toldRevision;
+    final Set<HostId> tellers = new LinkedHashSet<>();
+    long expectedRevision;
+    long expectedSinceNanos;
+  }
+
+  /** Records that a watch of this host begins, which has read all changes up to a revision. */
+  public synchronized void beginWatch(ObjectKind kind, long afterRevision, long nowNanos) {
+    Collection collection = collection(kind);
+    collection.watchedAfter = afterRevision;
+    collection.watchBeganNanos = OptionalLong.of(nowNanos);
+    if (collection.expectedRevision <= afterRevision) {
+      collection.expectedRevision = collection.toldRevision;
+      collection.expectedSinceNanos = nowNanos;
+    }
+  }
+
+  /** Records that the watch of this host has ended. */
+  public synchronized void endWatch(ObjectKind kind) {
+    collection(kind).watchBeganNanos = OptionalLong.empty();
+  }
+
+  /** Records that this host has read or written a change, which it tells its peers. */
+  public synchronized void recordKnown(ObjectKind kind, long revision) {
+    Collection collection = collection(kind);
+    if (revision > collection.readRevision) {
+      collection.readRevision = revision;
+      collection.readNumber = ++readCount;
+    }
+  }
+
+  /**
+   * Records that there is a change of a revision.
+   *
+   * @param peer the peer that knows the change; empty if the platform told of it
+   */
+  public synchronized void recordTold(
+      ObjectKind kind, long revision, Optional<HostId> peer, long nowNanos) {
+    Collection collection = collection(kind);
+    if (revision < collection.toldRevision) {
+      return;
+    }
+    if (revision > collection.toldRevision) {
+      collection.toldRevision = revision;
+      collection.tellers.clear();
+    }
+    peer.ifPresent(collection.tellers::add);
+    if (collection.expectedRevision <= collection.watchedAfter) {
+      collection.expectedRevision = revision;
+      collection.expectedSinceNanos = nowNanos;
+    }
+  }
+
+  /**
+   * Returns the changes that watches in progress have missed. A watch is taken as ended after that,
+   * until it begins anew.
+   */
+  public synchronized ImmutableList<MissedChange> takeMissed(long nowNanos) {
+    ImmutableList.Builder<MissedChange> missed = ImmutableList.builder();
+    collections.forEach(
+        (kind, collection) -> {
+          if (hasMissed(kind, collection, nowNanos)) {
+            collection.watchBeganNanos = OptionalLong.empty();
+            missed.add(
+                new MissedChange(
+                    kind,
+                    collection.watchedAfter,
+                    collection.toldRevision,
+                    ImmutableList.copyOf(collection.tellers)));
+          }
+        });
+    return missed.build();
+  }
+
+  private static boolean hasMissed(ObjectKind kind, Collection collection, long nowNanos) {
+    if (collection.watchBeganNanos.isEmpty()
+        || collection.expectedRevision <= collection.watchedAfter) {
+      return false;
+    }
+    Duration timeout =
+        KINDS_OF_LARGE_OBJECTS.contains(kind) ? REPORT_TIMEOUT_OF_LARGE_OBJECTS : REPORT_TIMEOUT;
+    return nowNanos - collection.watchBeganNanos.getAsLong() >= timeout.toNanos()
+        && nowNanos - collection.expectedSinceNanos >= timeout.toNanos();
+  }
+
+  /** Returns the peers that know the newest change, if it is later than a revision. */
+  public synchronized ImmutableList<HostId> peersAhead(ObjectKind kind, long revision) {
+    Collection collection = collection(kind);
+    return collection.toldRevision > revision
+        ? ImmutableList.copyOf(collection.tellers)
+        : ImmutableList.of();
+  }
+
+  /** Returns the newest revisions that this host knows and a peer was not told yet. */
+  public synchronized ImmutableMap<ObjectKind, Long> takeNews(Cursor cursor) {
+    ImmutableMap.Builder<ObjectKind, Long> news = ImmutableMap.builder();
+    for (ObjectKind kind : cursor.kinds) {
+      Collection collection = collection(kind);
+      if (collection.readNumber > cursor.toldCount) {
+        news.put(kind, collection.readRevision);
+      }
+    }
+    cursor.toldCount = readCount;
+    return news.buildOrThrow();
+  }
+
+  private Collection collection(ObjectKind kind) {
+    return collections.computeIfAbsent(kind, key -> new Collection());
+  }
+}
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -30,6 +31,8 @@
 import org.trefoilbarrow.coordination.dispatch.RefusalReason;
 import org.trefoilbarrow.coordination.election.DispatchElection;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions;
+import org.trefoilbarrow.coordination.watch.WatchedCollections;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.transport.link.generated.BackendLeavingMessage;
@@ -123,7 +126,7 @@
   void announce() {
     for (ClientHandler client : clients.values()) {
       client.channel.writeAndFlush(
-          LinkMessage.pulse(heartbeats.answer(0, isChosenDispatcher())),
+          LinkMessage.pulse(heartbeats.answer(0, isChosenDispatcher(), client.cursor)),
           client.channel.voidPromise());
     }
   }
@@ -204,6 +207,7 @@
     private Optional<HostId> client = Optional.empty();
     private Channel channel;
     private boolean servesCallers;
+    private CollectionRevisions.Cursor cursor = new CollectionRevisions.Cursor(ImmutableSet.of());
     private long lastReceivedNanos = nanoClock.getAsLong();
 
     boolean isTimedOut(long nowNanos) {
@@ -217,11 +221,12 @@
         receiveHeartbeat(message.getPulse());
         context.writeAndFlush(
             LinkMessage.pulse(
-                heartbeats.answer(message.getPulse().getNumber(), isChosenDispatcher())));
+                heartbeats.answer(message.getPulse().getNumber(), isChosenDispatcher(), cursor)));
       } else if (message.isSetHello()) {
         HostId host = HostId.of(message.getHello().getHost());
         client = Optional.of(host);
         servesCallers = message.getHello().isServesCallers();
+        cursor = new CollectionRevisions.Cursor(WatchedCollections.of(servesCallers));
         channel = context.channel();
         clients.put(host, this);
         followers.remove(host);
@@ -236,9 +241,11 @@
       if (client.isEmpty()) {
         return;
       }
+      long now = nanoClock.getAsLong();
+      heartbeats.recordRevisions(client.get(), heartbeat, now);
       if (servesCallers) {
         // The reports of other hosts arrive over this host's own links to them.
-        election.report(client.get(), Heartbeats.reportOf(heartbeat), nanoClock.getAsLong());
+        election.report(client.get(), Heartbeats.reportOf(heartbeat), now);
       }
       boolean changed =
           heartbeat.isTakesPlaces() ? followers.add(client.get()) : followers.remove(client.get());
--- a/server/src/main/java/org/trefoilbarrow/transport/link/HostLinks.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/HostLinks.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.trefoilbarrow.protocol.HostId;
@@ -29,12 +30,8 @@
   /** Creates the heartbeats that this host sends. */
   @FunctionalInterface
   interface HeartbeatFactory {
-    /**
-     * Returns a heartbeat to a peer.
-     *
-     * @param number the number of the heartbeat on its connection
-     */
-    PulseMessage create(HostId peer, long number);
+    /** Returns the source of the heartbeats, by their number, on a new connection to a peer. */
+    LongFunction<PulseMessage> forConnection(HostId peer);
   }
 
   HostLinks(
@@ -105,6 +102,6 @@
 
   private Link connect(PeerAddress peer) {
     return new Link(
-        loop, peer, hello(), number -> heartbeats.create(peer.host(), number), nanoClock, listener);
+        loop, peer, hello(), () -> heartbeats.forConnection(peer.host()), nanoClock, listener);
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Link.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
-import org.trefoilbarrow.coordination.election.TermReport;
+import java.util.function.Supplier;
 import org.trefoilbarrow.transport.link.generated.HelloMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
 import org.trefoilbarrow.transport.link.generated.PulseMessage;
@@ -37,10 +37,11 @@
   private final EventLoop loop;
   private final PeerAddress peer;
   private final HelloMessage hello;
-  private final LongFunction<PulseMessage> heartbeats;
+  private final Supplier<LongFunction<PulseMessage>> heartbeats;
   private final LongSupplier nanoClock;
   private final Listener listener;
   private Channel channel;
+  private LongFunction<PulseMessage> connectionHeartbeats;
   private long lastReceivedNanos;
   private long heartbeatNumber;
   private boolean live;
@@ -51,7 +52,7 @@
   /** Receives what happens on a link. */
   interface Listener {
     /** The peer sent a heartbeat. */
-    void reported(PeerAddress peer, TermReport report);
+    void heartbeat(PeerAddress peer, PulseMessage heartbeat);
 
     /** The connection was lost, or the heartbeats of the peer have timed out. */
     void lost(PeerAddress peer);
@@ -67,13 +68,13 @@
    * Creates a link, which connects at once.
    *
    * @param hello the first message on each connection
-   * @param heartbeats creates the heartbeat with the given number
+   * @param heartbeats creates the source of the heartbeats, by their number, on a new connection
    */
   Link(
       EventLoop loop,
       PeerAddress peer,
       HelloMessage hello,
-      LongFunction<PulseMessage> heartbeats,
+      Supplier<LongFunction<PulseMessage>> heartbeats,
       LongSupplier nanoClock,
       Listener listener) {
     this.loop = checkNotNull(loop, "loop");
@@ -156,7 +157,7 @@
       drop("no message within " + HEARTBEAT_TIMEOUT.toMillis() + " ms");
       return;
     }
-    send(LinkMessage.pulse(heartbeats.apply(heartbeatNumber++)));
+    send(LinkMessage.pulse(connectionHeartbeats.apply(heartbeatNumber++)));
     loop.schedule(
         () -> sendHeartbeat(current), HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -181,6 +182,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
       channel = context.channel();
+      connectionHeartbeats = heartbeats.get();
       lastReceivedNanos = nanoClock.getAsLong();
       send(LinkMessage.hello(hello));
       sendHeartbeat(channel);
@@ -207,7 +209,7 @@
       live = true;
       peerConnectedToPlatform = heartbeat.isFit();
       peerIsChosenDispatcher = heartbeat.isTakesPlaces();
-      listener.reported(peer, Heartbeats.reportOf(heartbeat));
+      listener.heartbeat(peer, heartbeat);
       if (changed) {
         listener.stateChanged();
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -25,13 +25,13 @@
 import org.trefoilbarrow.coordination.dispatch.RunReport;
 import org.trefoilbarrow.coordination.election.DispatchElection;
 import org.trefoilbarrow.coordination.election.ElectionRules;
-import org.trefoilbarrow.coordination.election.TermReport;
 import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineChange;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
 import org.trefoilbarrow.coordination.quarantine.ServerEnd;
 import org.trefoilbarrow.coordination.quarantine.SoundParts;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.protocol.PromptPartId;
@@ -41,6 +41,7 @@
 import org.trefoilbarrow.transport.link.generated.BackendLeavingMessage;
 import org.trefoilbarrow.transport.link.generated.DemandMessage;
 import org.trefoilbarrow.transport.link.generated.LinkMessage;
+import org.trefoilbarrow.transport.link.generated.PulseMessage;
 import org.trefoilbarrow.transport.link.generated.RefusedMessage;
 
 /**
@@ -71,6 +72,7 @@
   private final PartQuarantine quarantine;
   private final DispatchElection election;
   private final TermClaimer claimer;
+  private final Heartbeats heartbeats;
   private final LongSupplier nanoClock;
   private final EventLog log;
   private final RefusalLog refusalLog;
@@ -120,6 +122,7 @@
    * @param quarantine the prompt parts that keep work from all backend servers, as {@code
    *     dispatcher} uses it
    * @param leaving the backend servers that are leaving, as {@code dispatcher} uses it
+   * @param revisions the changes of collections that hosts tell each other of
    * @param canDispatch whether this host accepts the work of others and knows the backend servers
    */
   public PlacementClient(
@@ -130,6 +133,7 @@
       PartQuarantine quarantine,
       LeavingServers leaving,
       TermStore terms,
+      CollectionRevisions revisions,
       BooleanSupplier canDispatch,
       BooleanSupplier connectedToPlatform,
       LongSupplier nanoClock,
@@ -146,12 +150,12 @@
     this.election = new DispatchElection(self.host(), self.startedMillis(), ElectionRules.DEFAULT);
     this.claimer =
         new TermClaimer(election, terms, canDispatch, connectedToPlatform, nanoClock, log);
-    Heartbeats heartbeats = new Heartbeats(election, connectedToPlatform);
+    this.heartbeats = new Heartbeats(election, revisions, connectedToPlatform);
     this.links =
         new HostLinks(
             loop,
             self,
-            (peer, number) -> heartbeats.request(number, isDispatchedBy(peer)),
+            peer -> heartbeats.requests(() -> isDispatchedBy(peer)),
             nanoClock,
             new LinkListener());
     this.server =
@@ -652,8 +656,10 @@
   /** Passes what happens on the links to the election and to the handlers of messages. */
   private final class LinkListener implements Link.Listener {
     @Override
-    public void reported(PeerAddress peer, TermReport report) {
-      election.report(peer.host(), report, nanoClock.getAsLong());
+    public void heartbeat(PeerAddress peer, PulseMessage heartbeat) {
+      long now = nanoClock.getAsLong();
+      heartbeats.recordRevisions(peer.host(), heartbeat, now);
+      election.report(peer.host(), Heartbeats.reportOf(heartbeat), now);
       followElection();
     }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformCalls.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/PlatformCalls.java
@@ -6,10 +6,11 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.apache.hc.client5.http.config.RequestConfig;
@@ -29,7 +30,7 @@
   private final LongSupplier nanoClock;
   private final AtomicLong lastResponseNanos;
   private final AtomicLong count = new AtomicLong();
-  private final Set<HttpUriRequestBase> longPolls = ConcurrentHashMap.newKeySet();
+  private final Map<HttpUriRequestBase, String> longPolls = new ConcurrentHashMap<>();
 
   /** Turns a response into a value. */
   @FunctionalInterface
@@ -67,10 +68,12 @@
    * Makes a call whose response comes when there is a change, unless {@link #abortLongPolls} ends
    * it.
    *
+   * @param topic what the call waits for
    * @throws PlatformException if there is no response, or the reader cannot read it
    */
-  public <T> T longPoll(HttpUriRequestBase request, Duration responseTimeout, Reader<T> reader) {
-    longPolls.add(request);
+  public <T> T longPoll(
+      String topic, HttpUriRequestBase request, Duration responseTimeout, Reader<T> reader) {
+    longPolls.put(request, topic);
     try {
       return call(request, responseTimeout, reader);
     } finally {
@@ -78,9 +81,16 @@
     }
   }
 
-  /** Aborts all long polls in progress, as if the platform had not responded to them. */
-  public void abortLongPolls() {
-    longPolls.forEach(HttpUriRequestBase::abort);
+  /**
+   * Aborts the long polls in progress on some topics, as if the platform had not responded to them.
+   */
+  public void abortLongPolls(Predicate<String> topics) {
+    longPolls.forEach(
+        (request, topic) -> {
+          if (topics.test(topic)) {
+            request.abort();
+          }
+        });
   }
 
   /**
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
@@ -185,6 +185,13 @@
     }
   }
 
+  /** Ends the watches of a collection, so that the platform itself is asked. */
+  public void endAll(ObjectKind kind) {
+    ImmutableList.copyOf(watches.entrySet()).stream()
+        .filter(entry -> entry.getValue().kind == kind)
+        .forEach(entry -> end(entry.getKey(), WatchAnswer.UNAVAILABLE));
+  }
+
   private void endWithoutPeer(long number) {
     PeerWatch watch = watches.get(number);
     if (watch != null && watch.peer.isEmpty()) {
--- a/server/src/main/thrift/link.thrift
+++ b/server/src/main/thrift/link.thrift
@@ -129,6 +129,11 @@
    */
   4: optional bool takesPlaces
   5: optional TermReportMessage report
+  /**
+   * The revisions of the newest changes that the sender knows, by collection; only those that are
+   * new on this connection.
+   */
+  6: optional map<string, i64> revisions
 }
 
 /**
--- a/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/link/PlacementClientTest.java
@@ -40,6 +40,7 @@
 import org.trefoilbarrow.coordination.leaving.LeavingServers;
 import org.trefoilbarrow.coordination.quarantine.PartQuarantine;
 import org.trefoilbarrow.coordination.quarantine.QuarantineRules;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions;
 import org.trefoilbarrow.fleet.Eventually;
 import org.trefoilbarrow.protocol.BackendServerId;
 import org.trefoilbarrow.protocol.FailureDomainId;
@@ -95,6 +96,7 @@
               quarantine,
               leaving,
               new TermStore(platform, platformCalls, loop),
+              new CollectionRevisions(),
               () -> !servesCallers,
               connectedToPlatform::get,
               System::nanoTime,
