Read missed changes from a peer that knows them

Cause: rates are charged at the dispatching host alone, and the platform refused just this host, by resets, for 9 s. It knew the limit from its own watch only, and had no other source, though all its followers knew the new one.

Change: since hosts tell each other which changes they know, a watch first reads what this host has missed from a peer that knows it, and asks the platform otherwise. Job hosts pass on what all hosts watch and the ends of jobs; hosts with callers pass on the configuration. Changes that a host has are passed on also while it is not sure to hear from the platform. A watch that is ended since it has missed a change returns without changes: as a failed one it would count as an outage, in which entries of servers that are gone are kept for 1.9 s.

Why it works: each follower that knows the new limit tells the dispatching host within 150 ms and can send it, whatever the platform does to that host.

--- a/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
@@ -2,11 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.coordination.watch.CollectionRevisions;
 import org.trefoilbarrow.coordination.watch.CollectionRevisions.MissedChange;
@@ -27,7 +27,8 @@
 
 /**
  * How a host watches the platform: a host that serves callers does so through the others once the
- * fleet is large enough, and the others pass on what they receive.
+ * fleet is large enough, and the others pass on what they receive. Hosts tell each other what they
+ * know, so that one whose watch has missed a change reads it from another.
  */
 final class PlatformWatches {
   /**
@@ -48,13 +49,28 @@
   /** How often the watches are checked for changes that they have missed. */
   private static final Duration MISSED_CHECK_INTERVAL = Duration.ofMillis(100);
 
-  private final boolean relays;
+  private final boolean passesOnAll;
   private final int minHosts;
+
+  /** What other hosts decide by for all, or cannot take back. */
+  private static final ImmutableSet<ObjectKind> PASSED_ON_BY_JOB_HOSTS =
+      ImmutableSet.<ObjectKind>builder()
+          .addAll(WatchedCollections.BY_ALL_HOSTS)
+          .add(ObjectKind.JOB_END)
+          .build();
+
+  /**
+   * The limits in the configuration are enforced by the dispatching host alone, which may be the
+   * only one that the platform does not answer.
+   */
+  private static final ImmutableSet<ObjectKind> PASSED_ON_BY_CALLER_HOSTS =
+      ImmutableSet.of(ObjectKind.CONFIGURATION);
+
   private final PlatformAdapter.ConnectedPlatform connection;
   private final Platform platform;
   private final CollectionRevisions revisions;
-  private final PlacementClient.MessageHandler handler;
-  private final Consumer<ObjectKind> endPeerWatches;
+  private final WatchRelay relay;
+  private final PeerWatches peers;
   private final EventLoop loop;
   private final Executor executor;
   private final EventLog log;
@@ -86,44 +102,41 @@
     this.executor = checkNotNull(executor, "executor");
     this.log = checkNotNull(log, "log");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
-    this.relays = !self.servesCallers();
+    this.passesOnAll = !self.servesCallers();
     this.minHosts = minHosts;
-    Platform source;
-    if (relays) {
-      WatchRelay relay =
-          new WatchRelay(
-              loop,
-              WatchedCollections.BY_ALL_HOSTS,
-              () ->
-                  nanoClock.getAsLong() - connection.lastResponseNanos()
-                      < RELAY_RESPONSE_TIMEOUT.toNanos(),
-              nanoClock);
-      relay.start();
-      metrics.gauge("watches_served_to_peers", relay::servedCount);
-      source = new RecordedPlatform(connection, relay, gate, this::maxWait);
-      this.handler = relay;
-      this.endPeerWatches = kind -> {};
-    } else {
-      PeerWatches peers =
-          new PeerWatches(
-              loop,
-              self,
-              () -> placements.livePeers(true),
-              placements::send,
-              minHosts,
-              () -> hostCount);
-      placements.onPeersChanged(peers::onPeersChanged);
-      metrics.gauge("watches_through_peers", peers::relayedCount);
-      source = new RelayedPlatform(connection, peers, gate);
-      this.handler = peers;
-      this.endPeerWatches = peers::endAll;
-    }
-    this.platform = new TrackedPlatform(source, revisions, nanoClock);
+    this.relay = newRelay();
+    this.peers =
+        new PeerWatches(
+            loop,
+            self,
+            () -> placements.livePeers(true),
+            revisions,
+            placements::send,
+            minHosts,
+            () -> hostCount);
+    placements.onPeersChanged(peers::onPeersChanged);
+    Platform relayed =
+        new RelayedPlatform(connection, peers, revisions, self.servesCallers(), gate);
+    Platform recorded = new RecordedPlatform(relayed, relay, this::maxWait);
+    this.platform = new TrackedPlatform(recorded, revisions, nanoClock);
+    metrics.gauge("watches_served_to_peers", relay::servedCount);
+    metrics.gauge("watches_through_peers", peers::relayedCount);
     metrics.gauge("watches_begun_anew", () -> missedCount);
   }
 
+  private WatchRelay newRelay() {
+    return new WatchRelay(
+        loop,
+        passesOnAll ? PASSED_ON_BY_JOB_HOSTS : PASSED_ON_BY_CALLER_HOSTS,
+        () ->
+            nanoClock.getAsLong() - connection.lastResponseNanos()
+                < RELAY_RESPONSE_TIMEOUT.toNanos(),
+        nanoClock);
+  }
+
   /** Starts to look for changes that watches have missed. */
   void start() {
+    relay.start();
     loop.scheduleAtFixedRate(
         () -> revisions.takeMissed(nanoClock.getAsLong()).forEach(this::beginAnew),
         MISSED_CHECK_INTERVAL.toMillis(),
@@ -145,12 +158,19 @@
         missed.revision(),
         "peers",
         missed.peers());
-    endPeerWatches.accept(missed.kind());
+    peers.beginAnew(missed.kind());
     if (missed.peers().isEmpty()) {
       // Without peers that would tell, the other watches may have missed changes as well.
       executor.execute(connection::abortWatches);
     } else {
-      executor.execute(() -> connection.abortWatch(missed.kind()));
+      executor.execute(() -> abortIfMissed(missed.kind()));
+    }
+  }
+
+  /** Aborts the watch that has missed a change, unless the next one has begun already. */
+  private void abortIfMissed(ObjectKind kind) {
+    if (revisions.hasMissed(kind)) {
+      connection.abortWatch(kind);
     }
   }
 
@@ -162,8 +182,10 @@
   /** Returns a handler that also handles the messages of watches. */
   PlacementClient.MessageHandler with(PlacementClient.MessageHandler other) {
     return (from, message, reply) -> {
-      if (message.isSetWatch() || message.isSetWatchResult()) {
-        handler.received(from, message, reply);
+      if (message.isSetWatch()) {
+        relay.received(from, message, reply);
+      } else if (message.isSetWatchResult()) {
+        peers.received(from, message, reply);
       } else {
         other.received(from, message, reply);
       }
@@ -181,7 +203,7 @@
   }
 
   private Duration maxWait() {
-    return isLargeFleet() ? RELAY_MAX_WAIT : Duration.ofMinutes(1);
+    return passesOnAll && isLargeFleet() ? RELAY_MAX_WAIT : Duration.ofMinutes(1);
   }
 
   private boolean isLargeFleet() {
@@ -190,6 +212,6 @@
 
   /** Returns the interval at which this host probes the platform. */
   Duration probeInterval() {
-    return relays && isLargeFleet() ? RELAY_PROBE_INTERVAL : PlatformProbe.INTERVAL;
+    return passesOnAll && isLargeFleet() ? RELAY_PROBE_INTERVAL : PlatformProbe.INTERVAL;
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/watch/CollectionRevisions.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/watch/CollectionRevisions.java
@@ -69,6 +69,7 @@
     long readNumber;
     long watchedAfter;
     OptionalLong watchBeganNanos = OptionalLong.empty();
+    boolean missedChange;
     long toldRevision;
     final Set<HostId> tellers = new LinkedHashSet<>();
     long expectedRevision;
@@ -80,6 +81,7 @@
     Collection collection = collection(kind);
     collection.watchedAfter = afterRevision;
     collection.watchBeganNanos = OptionalLong.of(nowNanos);
+    collection.missedChange = false;
     if (collection.expectedRevision <= afterRevision) {
       collection.expectedRevision = collection.toldRevision;
       collection.expectedSinceNanos = nowNanos;
@@ -123,15 +125,15 @@
   }
 
   /**
-   * Returns the changes that watches in progress have missed. A watch is taken as ended after that,
-   * until it begins anew.
+   * Returns the changes that watches in progress have missed, each once. Such a watch has to begin
+   * anew.
    */
   public synchronized ImmutableList<MissedChange> takeMissed(long nowNanos) {
     ImmutableList.Builder<MissedChange> missed = ImmutableList.builder();
     collections.forEach(
         (kind, collection) -> {
           if (hasMissed(kind, collection, nowNanos)) {
-            collection.watchBeganNanos = OptionalLong.empty();
+            collection.missedChange = true;
             missed.add(
                 new MissedChange(
                     kind,
@@ -145,6 +147,7 @@
 
   private static boolean hasMissed(ObjectKind kind, Collection collection, long nowNanos) {
     if (collection.watchBeganNanos.isEmpty()
+        || collection.missedChange
         || collection.expectedRevision <= collection.watchedAfter) {
       return false;
     }
@@ -154,6 +157,11 @@
         && nowNanos - collection.expectedSinceNanos >= timeout.toNanos();
   }
 
+  /** Returns whether the last watch of a collection has missed a change. */
+  public synchronized boolean hasMissed(ObjectKind kind) {
+    return collection(kind).missedChange;
+  }
+
   /** Returns the peers that know the newest change, if it is later than a revision. */
   public synchronized ImmutableList<HostId> peersAhead(ObjectKind kind, long revision) {
     Collection collection = collection(kind);
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
@@ -138,9 +138,16 @@
 
   /** Sends a decision to the host that it concerns, if that is connected. */
   void send(Decision decision) {
-    ClientHandler client = clients.get(decision.demand().host());
+    if (clients.containsKey(decision.demand().host())) {
+      send(decision.demand().host(), toMessage(decision));
+    }
+  }
+
+  /** Sends a message to a host, if that is connected. */
+  void send(HostId host, LinkMessage message) {
+    ClientHandler client = clients.get(host);
     if (client != null) {
-      client.channel.writeAndFlush(toMessage(decision), client.channel.voidPromise());
+      client.channel.writeAndFlush(message, client.channel.voidPromise());
     }
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/link/HostLinks.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/HostLinks.java
@@ -80,6 +80,11 @@
     return link != null && link.isChosenDispatcher();
   }
 
+  /** Returns whether this host connects to a host, which it does to those that can dispatch. */
+  boolean has(HostId host) {
+    return links.containsKey(host);
+  }
+
   /** Sends a message to a peer; it is dropped while the peer is not connected. */
   void send(HostId peer, LinkMessage message) {
     Link link = links.get(peer);
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -374,9 +374,13 @@
     return dispatchingHost.isSelf();
   }
 
-  /** Sends a message to a peer; it is dropped while the peer is not connected. */
+  /** Sends a message to another host; it is dropped while the two are not connected. */
   public void send(HostId host, LinkMessage message) {
-    links.send(host, message);
+    if (links.has(host)) {
+      links.send(host, message);
+    } else {
+      server.send(host, message);
+    }
   }
 
   /**
@@ -544,7 +548,7 @@
     } else if (message.isSetRevoked()) {
       revoked(message.getRevoked().getCall());
     } else {
-      messageHandler.received(from, message, answer -> {});
+      messageHandler.received(from, message, answer -> links.send(from, answer));
     }
   }
 
--- a/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/platform/CollectionWatcher.java
@@ -25,10 +25,10 @@
   private static final Duration DEFAULT_WATCH_WAIT = Duration.ofSeconds(20);
 
   /**
-   * The wait of the first watch after a failed one. Platforms may report only at the end of the
-   * wait that the history from which to resume is gone.
+   * The wait of the first watch after one that failed or missed a change. Platforms may report only
+   * at the end of the wait that the history from which to resume is gone.
    */
-  private static final Duration CATCH_UP_WAIT = Duration.ofMillis(100);
+  public static final Duration CATCH_UP_WAIT = Duration.ofMillis(100);
 
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
   private static final Duration MAX_BACKOFF = Duration.ofSeconds(1);
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
@@ -19,6 +19,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.trefoilbarrow.coordination.membership.Rendezvous;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.transport.link.PeerAddress;
@@ -28,9 +29,10 @@
 
 /**
  * Watches collections of the platform through the peers that dispatch, in fleets whose own watches
- * would be too many calls. A watch ends without a result as soon as its peer is lost or is not sure
- * to hear from the platform; the caller then asks the platform itself. Except for {@link #watch},
- * used only on the event loop's thread.
+ * would be too many calls, and reads what this host has missed from the peers that know it. A watch
+ * ends without a result as soon as its peer is lost or is not sure to hear from the platform; the
+ * caller then asks the platform itself. Except for {@link #watch} and {@link #readMissed}, used
+ * only on the event loop's thread.
  */
 public final class PeerWatches implements PlacementClient.MessageHandler {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -38,12 +40,16 @@
   /** How long an answer may take beyond the requested wait. */
   private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
 
+  /** How long a peer may take to send changes that it knows. */
+  private static final Duration READ_TIMEOUT = Duration.ofMillis(500);
+
   /** How long the first watch of a collection waits for the links of a host that has started. */
   private static final Duration FIRST_PEER_TIMEOUT = Duration.ofSeconds(1);
 
   private final EventLoop loop;
   private final PeerAddress self;
   private final Supplier<ImmutableList<PeerAddress>> livePeers;
+  private final CollectionRevisions revisions;
   private final BiConsumer<HostId, LinkMessage> sender;
   private final int minHosts;
   private final IntSupplier hostCount;
@@ -56,15 +62,18 @@
     final ObjectKind kind;
     final long afterRevision;
     final Duration wait;
-    final CompletableFuture<WatchAnswer> result;
+    final CompletableFuture<WatchAnswer> result = new CompletableFuture<>();
     Optional<HostId> peer = Optional.empty();
 
-    PeerWatch(
-        ObjectKind kind, long afterRevision, Duration wait, CompletableFuture<WatchAnswer> result) {
+    PeerWatch(ObjectKind kind, long afterRevision, Duration wait) {
       this.kind = kind;
       this.afterRevision = afterRevision;
       this.wait = wait;
-      this.result = result;
+    }
+
+    /** Returns whether the peer answers at once. */
+    boolean isRead() {
+      return wait.isZero();
     }
   }
 
@@ -72,6 +81,7 @@
    * Creates an instance without watches.
    *
    * @param livePeers the live peers that are connected to the platform
+   * @param revisions the changes of collections that hosts tell each other of
    * @param sender sends a message to a peer
    * @param minHosts the number of registered hosts from which watches go through peers
    * @param hostCount the number of registered hosts; 0 while it is not known
@@ -80,12 +90,14 @@
       EventLoop loop,
       PeerAddress self,
       Supplier<ImmutableList<PeerAddress>> livePeers,
+      CollectionRevisions revisions,
       BiConsumer<HostId, LinkMessage> sender,
       int minHosts,
       IntSupplier hostCount) {
     this.loop = checkNotNull(loop, "loop");
     this.self = checkNotNull(self, "self");
     this.livePeers = checkNotNull(livePeers, "livePeers");
+    this.revisions = checkNotNull(revisions, "revisions");
     this.sender = checkNotNull(sender, "sender");
     this.minHosts = minHosts;
     this.hostCount = checkNotNull(hostCount, "hostCount");
@@ -102,16 +114,36 @@
    * @return the answer of a peer; {@link WatchAnswer#UNAVAILABLE} if none can tell
    */
   WatchAnswer watch(ObjectKind kind, long afterRevision, Duration wait) {
-    CompletableFuture<WatchAnswer> result = new CompletableFuture<>();
-    PeerWatch watch = new PeerWatch(kind, afterRevision, wait, result);
+    PeerWatch watch = new PeerWatch(kind, afterRevision, wait);
     loop.execute(() -> begin(watch));
-    Duration timeout = wait.plus(FIRST_PEER_TIMEOUT).plus(ANSWER_TIMEOUT);
+    return await(watch, wait.plus(FIRST_PEER_TIMEOUT).plus(ANSWER_TIMEOUT));
+  }
+
+  /**
+   * Reads the changes after a revision from a peer that knows later ones. May be called on any
+   * thread but the event loop's.
+   *
+   * @return the answer of the peer; {@link WatchAnswer#UNAVAILABLE} if no peer knows of later
+   *     changes, or it does not have them
+   */
+  WatchAnswer readMissed(ObjectKind kind, long afterRevision) {
+    ImmutableList<HostId> peers = revisions.peersAhead(kind, afterRevision);
+    if (peers.isEmpty()) {
+      return WatchAnswer.UNAVAILABLE;
+    }
+    PeerWatch read = new PeerWatch(kind, afterRevision, Duration.ZERO);
+    loop.execute(() -> beginRead(read, peers));
+    WatchAnswer answer = await(read, READ_TIMEOUT);
+    return answer.isAfter(afterRevision) ? answer : WatchAnswer.UNAVAILABLE;
+  }
+
+  private WatchAnswer await(PeerWatch watch, Duration timeout) {
     try {
-      return result.get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+      return watch.result.get(timeout.toMillis(), TimeUnit.MILLISECONDS);
     } catch (TimeoutException e) {
       logger.atInfo().log(
           "watch: no peer answered a watch of %s within %d ms; asking the platform",
-          kind.collection(), timeout.toMillis());
+          watch.kind.collection(), timeout.toMillis());
       loop.execute(() -> watches.values().remove(watch));
       return WatchAnswer.UNAVAILABLE;
     } catch (ExecutionException e) {
@@ -134,6 +166,17 @@
     }
   }
 
+  /** Prefers a peer that is connected to the platform; the others know the change as well. */
+  private void beginRead(PeerWatch read, ImmutableList<HostId> peersAhead) {
+    ImmutableList<PeerAddress> live =
+        livePeers.get().stream()
+            .filter(peer -> peersAhead.contains(peer.host()))
+            .collect(ImmutableList.toImmutableList());
+    long number = nextNumber++;
+    watches.put(number, read);
+    sendTo(choose(read.kind, live).orElse(peersAhead.get(0)), number, read);
+  }
+
   private boolean mayGetPeer() {
     return hostCount.getAsInt() == 0 || isEnabled();
   }
@@ -144,21 +187,27 @@
 
   /** Sends a watch to a peer; returns whether there is one. */
   private boolean send(long number, PeerWatch watch) {
-    watch.peer = isEnabled() ? choosePeer(watch.kind) : Optional.empty();
-    watch.peer.ifPresent(
-        peer ->
-            sender.accept(
-                peer, WatchMessages.watch(number, watch.kind, watch.afterRevision, watch.wait)));
-    return watch.peer.isPresent();
+    Optional<HostId> peer = isEnabled() ? choosePeer(watch.kind) : Optional.empty();
+    peer.ifPresent(chosen -> sendTo(chosen, number, watch));
+    return peer.isPresent();
+  }
+
+  private void sendTo(HostId peer, long number, PeerWatch watch) {
+    watch.peer = Optional.of(peer);
+    sender.accept(peer, WatchMessages.watch(number, watch.kind, watch.afterRevision, watch.wait));
   }
 
-  /** Prefers a peer in the own failure domain, as bytes between domains may be expensive. */
   private Optional<HostId> choosePeer(ObjectKind kind) {
     // Hosts of earlier versions register without a failure domain, and answer no watches.
-    ImmutableList<PeerAddress> peers =
+    return choose(
+        kind,
         livePeers.get().stream()
             .filter(peer -> !peer.failureDomain().isEmpty())
-            .collect(ImmutableList.toImmutableList());
+            .collect(ImmutableList.toImmutableList()));
+  }
+
+  /** Prefers a peer in the own failure domain, as bytes between domains may be expensive. */
+  private Optional<HostId> choose(ObjectKind kind, ImmutableList<PeerAddress> peers) {
     ImmutableList<HostId> near =
         peers.stream()
             .filter(peer -> peer.failureDomain().equals(self.failureDomain()))
@@ -175,6 +224,9 @@
         livePeers.get().stream().map(PeerAddress::host).collect(ImmutableList.toImmutableList());
     for (Map.Entry<Long, PeerWatch> entry : ImmutableList.copyOf(watches.entrySet())) {
       PeerWatch watch = entry.getValue();
+      if (watch.isRead()) {
+        continue;
+      }
       if (watch.peer.isEmpty() && !mayGetPeer()) {
         end(entry.getKey(), WatchAnswer.UNAVAILABLE);
       } else if (watch.peer.isEmpty()) {
@@ -185,11 +237,14 @@
     }
   }
 
-  /** Ends the watches of a collection, so that the platform itself is asked. */
-  public void endAll(ObjectKind kind) {
-    ImmutableList.copyOf(watches.entrySet()).stream()
-        .filter(entry -> entry.getValue().kind == kind)
-        .forEach(entry -> end(entry.getKey(), WatchAnswer.UNAVAILABLE));
+  /** Ends the watches of a collection as if their wait were over, so that they begin anew. */
+  public void beginAnew(ObjectKind kind) {
+    for (Map.Entry<Long, PeerWatch> entry : ImmutableList.copyOf(watches.entrySet())) {
+      PeerWatch watch = entry.getValue();
+      if (watch.kind == kind) {
+        end(entry.getKey(), WatchAnswer.noChanges(watch.afterRevision));
+      }
+    }
   }
 
   private void endWithoutPeer(long number) {
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RecordedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RecordedPlatform.java
@@ -15,7 +15,6 @@
 /** A platform whose watches are recorded for the hosts that continue theirs here. Thread-safe. */
 public final class RecordedPlatform extends ForwardingPlatform {
   private final WatchRelay relay;
-  private final OutageGate gate;
   private final Supplier<Duration> maxWait;
 
   /**
@@ -24,17 +23,14 @@
    * @param maxWait the longest wait of one watch: a watch whose response is lost keeps the changes
    *     from all receivers until its wait is over
    */
-  public RecordedPlatform(
-      Platform platform, WatchRelay relay, OutageGate gate, Supplier<Duration> maxWait) {
+  public RecordedPlatform(Platform platform, WatchRelay relay, Supplier<Duration> maxWait) {
     super(platform);
     this.relay = checkNotNull(relay, "relay");
-    this.gate = checkNotNull(gate, "gate");
     this.maxWait = checkNotNull(maxWait, "maxWait");
   }
 
   @Override
   public Optional<ChangeBatch> watch(ObjectKind kind, long afterRevision, Duration wait) {
-    gate.awaitRegained();
     relay.beginWatch(kind, afterRevision);
     try {
       Optional<ChangeBatch> batch = super.watch(kind, afterRevision, shorter(wait, maxWait.get()));
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
@@ -2,37 +2,81 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions;
 import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ForwardingPlatform;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.ObjectPage;
 import org.trefoilbarrow.state.Platform;
+import org.trefoilbarrow.state.PlatformException;
+import org.trefoilbarrow.transport.platform.CollectionWatcher;
 
 /**
- * A platform whose watches go through a peer while one can serve them, and to the platform
- * otherwise. All other calls go to the platform. Thread-safe.
+ * A platform whose watches read the changes that this host has missed from a peer that knows them,
+ * and then go through a peer or to the platform. All other calls go to the platform. Thread-safe.
+ *
+ * <p>So a host that the platform refuses, or whose answers are lost, still follows the changes that
+ * its peers know.
  */
 public final class RelayedPlatform extends ForwardingPlatform {
   private final PeerWatches peers;
+  private final CollectionRevisions revisions;
+  private final boolean watchesThroughPeers;
   private final OutageGate gate;
 
+  /** The collections whose last watch has missed a change. */
+  private final Set<ObjectKind> behind = ConcurrentHashMap.newKeySet();
+
   /** What a peer sent to a watch that fell behind; the next list of the collection returns it. */
   private final Map<ObjectKind, ObjectPage> snapshots = new ConcurrentHashMap<>();
 
-  /** Creates a platform that prefers the watches of peers. */
-  public RelayedPlatform(Platform platform, PeerWatches peers, OutageGate gate) {
+  /**
+   * Creates a platform.
+   *
+   * @param revisions what tells whether a watch has missed a change
+   * @param watchesThroughPeers whether watches wait at a peer while one can serve them
+   */
+  public RelayedPlatform(
+      Platform platform,
+      PeerWatches peers,
+      CollectionRevisions revisions,
+      boolean watchesThroughPeers,
+      OutageGate gate) {
     super(platform);
     this.peers = checkNotNull(peers, "peers");
+    this.revisions = checkNotNull(revisions, "revisions");
+    this.watchesThroughPeers = watchesThroughPeers;
     this.gate = checkNotNull(gate, "gate");
   }
 
+  /**
+   * {@inheritDoc}
+   *
+   * <p>A watch that is ended since it has missed a change returns without changes, as if its wait
+   * were over; the next one then catches up. The platform has not failed by that.
+   */
   @Override
   public Optional<ChangeBatch> watch(ObjectKind kind, long afterRevision, Duration wait) {
-    WatchAnswer answer = peers.watch(kind, afterRevision, wait);
+    boolean catchesUp = behind.remove(kind);
+    Optional<ChangeBatch> batch = watch(kind, afterRevision, wait, catchesUp);
+    if (revisions.hasMissed(kind)) {
+      behind.add(kind);
+    }
+    return batch;
+  }
+
+  private Optional<ChangeBatch> watch(
+      ObjectKind kind, long afterRevision, Duration wait, boolean catchesUp) {
+    WatchAnswer answer = peers.readMissed(kind, afterRevision);
+    if (answer.equals(WatchAnswer.UNAVAILABLE) && watchesThroughPeers && !catchesUp) {
+      answer = peers.watch(kind, afterRevision, wait);
+    }
     if (answer instanceof WatchAnswer.Changes changes) {
       return Optional.of(changes.batch());
     }
@@ -41,7 +85,14 @@
       return Optional.empty();
     }
     gate.awaitRegained();
-    return super.watch(kind, afterRevision, wait);
+    try {
+      return super.watch(kind, afterRevision, catchesUp ? CollectionWatcher.CATCH_UP_WAIT : wait);
+    } catch (PlatformException e) {
+      if (!revisions.hasMissed(kind)) {
+        throw e;
+      }
+      return Optional.of(new ChangeBatch(afterRevision, ImmutableList.of()));
+    }
   }
 
   @Override
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/WatchRelay.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/WatchRelay.java
@@ -27,9 +27,10 @@
 import org.trefoilbarrow.transport.link.generated.WatchMessage;
 
 /**
- * Serves the watches of other hosts from the changes that this host's own watches returned. While
- * this host is not sure to hear from the platform, it tells the others to ask the platform
- * themselves. Except where stated, used only on the event loop's thread.
+ * Serves the watches of other hosts from the changes that this host's own watches returned. Changes
+ * that it has are sent at once. While this host is not sure to hear from the platform, it knows of
+ * no further ones, and tells the others to ask the platform themselves. Except where stated, used
+ * only on the event loop's thread.
  */
 public final class WatchRelay implements PlacementClient.MessageHandler {
   /**
@@ -163,6 +164,11 @@
 
   /** Answers a watch if it need not wait; returns whether it was answered. */
   private boolean serve(ObjectKind kind, Waiting watch) {
+    Optional<ChangeBatch> batch = logs.get(kind).since(watch.afterRevision());
+    if (batch.isPresent() && !batch.get().changes().isEmpty()) {
+      answer(watch.reply(), watch.number(), new WatchAnswer.Changes(batch.get()));
+      return true;
+    }
     Long pausedNanos = pausedSinceNanos.get(kind);
     if (pausedNanos != null && nanoClock.getAsLong() - pausedNanos < MAX_PAUSE.toNanos()) {
       return false;
@@ -171,11 +177,7 @@
       answer(watch.reply(), watch.number(), WatchAnswer.UNAVAILABLE);
       return true;
     }
-    Optional<ChangeBatch> batch = logs.get(kind).since(watch.afterRevision());
-    boolean waits =
-        batch.isPresent()
-            && batch.get().changes().isEmpty()
-            && watch.endNanos() - nanoClock.getAsLong() > 0;
+    boolean waits = batch.isPresent() && watch.endNanos() - nanoClock.getAsLong() > 0;
     if (!waits) {
       answer(
           watch.reply(),
--- a/server/src/test/java/org/trefoilbarrow/transport/watch/WatchesThroughPeersTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/watch/WatchesThroughPeersTest.java
@@ -22,6 +22,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.trefoilbarrow.coordination.watch.CollectionRevisions;
 import org.trefoilbarrow.fleet.Eventually;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.state.ChangeBatch;
@@ -148,13 +149,14 @@
       relay =
           new WatchRelay(loop, ImmutableList.of(KIND), () -> connectedToPlatform, System::nanoTime);
       relay.start();
-      watch(new RecordedPlatform(platform, relay, gate, () -> WAIT), new ConcurrentHashMap<>());
+      watch(new RecordedPlatform(platform, relay, () -> WAIT), new ConcurrentHashMap<>());
     }
   }
 
   /** A host that serves callers. */
   private final class CallerHost {
     final Map<String, String> objects = new ConcurrentHashMap<>();
+    final CollectionRevisions revisions = new CollectionRevisions();
     final PeerWatches peers;
 
     CallerHost(String name, String domain) {
@@ -168,10 +170,11 @@
                       .filter(relay -> relay.live)
                       .map(relay -> relay.address)
                       .collect(ImmutableList.toImmutableList()),
+              revisions,
               (to, message) -> send(self.host(), to, message),
               2,
               () -> CALLER_HOSTS);
-      watch(new RelayedPlatform(new CallerView(platform), peers, gate), objects);
+      watch(new RelayedPlatform(new CallerView(platform), peers, revisions, true, gate), objects);
     }
 
     private void send(HostId self, HostId to, LinkMessage message) {
