Split the watchers of a host from FleetHost

FleetWatchers has the watchers and the probe now, DrainedDomains and RegisteredHosts what two of the collections mean for the host. No behaviour is changed.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -13,11 +13,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -34,9 +30,7 @@
 import org.trefoilbarrow.coordination.watch.WatchedCollections;
 import org.trefoilbarrow.protocol.FailureDomainId;
 import org.trefoilbarrow.protocol.HostId;
-import org.trefoilbarrow.protocol.JsonCodec;
 import org.trefoilbarrow.settings.FleetHostSettings;
-import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.Platform;
 import org.trefoilbarrow.state.VersionedObject;
 import org.trefoilbarrow.state.fleet.Catalog;
@@ -57,8 +51,6 @@
 import org.trefoilbarrow.transport.link.TermStore;
 import org.trefoilbarrow.transport.metrics.FleetMetrics;
 import org.trefoilbarrow.transport.metrics.MetricsEndpoint;
-import org.trefoilbarrow.transport.platform.CollectionWatcher;
-import org.trefoilbarrow.transport.platform.PlatformProbe;
 import org.trefoilbarrow.transport.watch.TrackedPlatform;
 
 /**
@@ -70,21 +62,6 @@
 public final class FleetHost {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** The timeout of a long poll; shorter than the time for which platforms keep their history. */
-  private static final Duration LONG_POLL_TIMEOUT = Duration.ofSeconds(15);
-
-  /**
-   * Groups the changes of backend servers that start together. Short compared with the time for
-   * draining a leaving backend server.
-   */
-  private static final Duration BACKEND_WATCH_DELAY = Duration.ofMillis(250);
-
-  /** Groups the changes of hosts: all start together, and each receives the entry of each. */
-  private static final Duration HOST_WATCH_DELAY = Duration.ofSeconds(1);
-
-  /** Groups results, which arrive in bursts; a job's caller reads them about twice a second. */
-  private static final Duration RESULT_WATCH_DELAY = Duration.ofMillis(250);
-
   /**
    * How long a response of the platform counts as recent: long enough for a probe to be answered.
    */
@@ -124,8 +101,7 @@
   private final FleetView fleet = new FleetView();
   private final ExecutorService executor = newDaemonThreadPool(PLATFORM_THREADS);
   private final CollectionReads collectionReads;
-  private final Map<String, PeerAddress> peers = new HashMap<>();
-  private final Set<String> drainedDomains = new HashSet<>();
+  private final RegisteredHosts hosts;
   private final PlatformAdapter.ConnectedPlatform platform;
   private final CollectionRevisions revisions = new CollectionRevisions();
   private final FleetMetrics metrics = new FleetMetrics(new MetricRegistry());
@@ -204,6 +180,7 @@
             log,
             metrics,
             nanoClock);
+    this.hosts = new RegisteredHosts(this::onHostsChanged, log);
     Platform tracked = new TrackedPlatform(platform, revisions, nanoClock);
     this.quarantines =
         new QuarantineStore(
@@ -398,107 +375,23 @@
     BackendServerWatcher backends =
         new BackendServerWatcher(
             loop, fleet, adapter.decoder(), log, nanoClock, placements::onFleetChanged);
-    ImmutableList.Builder<CollectionWatcher> watchers = ImmutableList.builder();
-    ObjectWatchers objectWatchers =
-        new ObjectWatchers(watches.platform(), loop, LONG_POLL_TIMEOUT, collectionReads::onRead);
-    watchers.add(objectWatchers.of(ObjectKind.CONFIGURATION, configuration::onChange, name -> {}));
-    watchers.add(
-        new CollectionWatcher(
-            watches.platform(),
-            ObjectKind.BACKEND_SERVER,
-            page -> {
-              backends.onSnapshot(page);
-              collectionReads.onRead(ObjectKind.BACKEND_SERVER);
-            },
-            backends::onChanges,
-            backends::onOutage,
-            LONG_POLL_TIMEOUT,
-            BACKEND_WATCH_DELAY));
-    watchers.add(
-        objectWatchers.of(
-            ObjectKind.DRAINED_DOMAIN, this::onDomainDrained, this::onDomainReturned));
-    watchers.add(
-        objectWatchers.of(
-            ObjectKind.HOST, this::onHostListed, this::onHostRemoved, HOST_WATCH_DELAY));
-    watchers.add(
-        objectWatchers.of(ObjectKind.QUARANTINED_PART, quarantines::onPut, quarantines::onDelete));
+    FleetWatchers watchers =
+        new FleetWatchers(
+            platform, watches, revisions, collectionReads, backends, loop, log, nanoClock);
+    watchers.addFleet(
+        configuration,
+        new DrainedDomains(fleet, adapter.decoder(), placements::onFleetChanged, log),
+        hosts,
+        quarantines);
     if (!settings.servesCallers()) {
-      watchers.add(
-          objectWatchers.of(
-              ObjectKind.JOB, object -> jobTable.jobCreated(object.value()), jobTable::jobRemoved));
-      watchers.add(
-          objectWatchers.of(
-              ObjectKind.RESULT,
-              object -> jobTable.partCreated(object.name(), object.value()),
-              name -> {},
-              RESULT_WATCH_DELAY));
-      watchers.add(objectWatchers.of(ObjectKind.JOB_END, this::onJobEnded, name -> {}));
-      watchers.add(
-          objectWatchers.of(ObjectKind.HOST_REMOVAL, this::onRemovalRequested, name -> {}));
-    }
-    watchers.build().forEach(CollectionWatcher::start);
-    watches.start();
-    new PlatformProbe(
-            watches::probeInterval,
-            this::probePlatform,
-            () -> {
-              log.add("platform", "lost");
-              backends.onOutage();
-              watches.setLost(true);
-            },
-            () -> {
-              log.add("platform", "regained");
-              backends.onOutage();
-              platform.abortWatches();
-              watches.setLost(false);
-            })
-        .start();
-  }
-
-  private void probePlatform() {
-    long revision = platform.probe();
-    revisions.recordTold(
-        ObjectKind.CONFIGURATION, revision, Optional.empty(), nanoClock.getAsLong());
-  }
-
-  private void onJobEnded(VersionedObject object) {
-    log.add("jobs", "end known", "job", object.name(), "revision", object.version());
-    jobTable.jobCancelled(object.name());
-  }
-
-  private void onDomainDrained(VersionedObject object) {
-    if (drainedDomains.add(object.name())) {
-      log.add("config", "domain drained", "domain", object.name());
-      applyDrainedDomains();
-    }
-  }
-
-  private void onDomainReturned(String name) {
-    if (drainedDomains.remove(name)) {
-      log.add("config", "domain back", "domain", name);
-      applyDrainedDomains();
+      watchers.addJobs(jobTable, this::onRemovalRequested);
     }
+    watchers.start();
   }
 
-  private void applyDrainedDomains() {
-    Set<FailureDomainId> domains = new HashSet<>();
-    drainedDomains.forEach(name -> domains.add(adapter.decoder().decodeDrainedDomain(name)));
-    fleet.setDrainedDomains(domains);
-    placements.onFleetChanged();
-  }
-
-  private void onHostListed(VersionedObject object) {
-    peers.put(object.name(), JsonCodec.decode(object.value(), PeerAddress.class));
-    log.add("peers", "listed", "host", object.name());
-    watches.setHostCount(peers.size());
-    placements.setPeers(peers.values());
-  }
-
-  private void onHostRemoved(String name) {
-    peers.remove(name);
-    log.add("peers", "gone", "host", name);
-    watches.setHostCount(peers.size());
-    placements.setPeers(peers.values());
+  private void onHostsChanged(ImmutableList<PeerAddress> registered) {
+    watches.setHostCount(registered.size());
+    placements.setPeers(registered);
   }
 
   private void onRemovalRequested(VersionedObject object) {
@@ -507,7 +400,7 @@
     } else if (!hasReadAllCollections()) {
       loop.schedule(
           () -> onRemovalRequested(object), REMOVAL_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-    } else if (!peers.containsKey(object.name()) && placements.isDispatching()) {
+    } else if (!hosts.contains(object.name()) && placements.isDispatching()) {
       // No host of this fleet runs on that machine, so no other host would confirm its removal.
       log.add("host", "removal of another machine", "machine", object.name());
       registration.confirmRemoval(HostId.of(object.name()));
