Take no answer that passes over a change which a peer knows

- An answer to a watch that claims to contain all changes up to a revision, and lacks one that a peer told of, would have ended the check for good.
The collection is read again then.
- A missed change is not asked of a host that is not connected, for which a watch waited 500 ms.
- A receiver of changes is not sent again those that it has: a replayed deletion removed a server for a moment that had been registered again.
- The line "behind" has the number of the peers, which may be hundreds.

--- a/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
@@ -49,9 +49,6 @@
   /** How often the watches are checked for changes that they have missed. */
   private static final Duration MISSED_CHECK_INTERVAL = Duration.ofMillis(100);
 
-  private final boolean passesOnAll;
-  private final int minHosts;
-
   /** What other hosts decide by for all, or cannot take back. */
   private static final ImmutableSet<ObjectKind> PASSED_ON_BY_JOB_HOSTS =
       ImmutableSet.<ObjectKind>builder()
@@ -66,6 +63,9 @@
   private static final ImmutableSet<ObjectKind> PASSED_ON_BY_CALLER_HOSTS =
       ImmutableSet.of(ObjectKind.CONFIGURATION);
 
+  private final boolean passesOnAll;
+  private final int minHosts;
+
   private final PlatformAdapter.ConnectedPlatform connection;
   private final Platform platform;
   private final CollectionRevisions revisions;
@@ -110,6 +110,7 @@
             loop,
             self,
             () -> placements.livePeers(true),
+            placements::isConnectedTo,
             revisions,
             placements::send,
             minHosts,
@@ -157,7 +158,7 @@
         "revision",
         missed.revision(),
         "peers",
-        missed.peers());
+        missed.peers().size());
     peers.beginAnew(missed.kind());
     if (missed.peers().isEmpty()) {
       // Without peers that would tell, the other watches may have missed changes as well.
--- a/server/src/main/java/org/trefoilbarrow/coordination/watch/CollectionRevisions.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/watch/CollectionRevisions.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.trefoilbarrow.protocol.HostId;
+import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ObjectKind;
 
 /**
@@ -162,6 +163,19 @@
     return collection(kind).missedChange;
   }
 
+  /**
+   * Returns whether an answer to a watch passes over a change that a peer knows, though it claims
+   * to contain all changes up to a later revision.
+   *
+   * @param afterRevision the revision after which the watch reports changes
+   */
+  public synchronized boolean passesOver(ObjectKind kind, long afterRevision, ChangeBatch answer) {
+    long told = collection(kind).toldRevision;
+    return afterRevision < told
+        && told <= answer.revision()
+        && answer.changes().stream().noneMatch(change -> change.version() >= told);
+  }
+
   /** Returns the peers that know the newest change, if it is later than a revision. */
   public synchronized ImmutableList<HostId> peersAhead(ObjectKind kind, long revision) {
     Collection collection = collection(kind);
@@ -172,6 +186,9 @@
 
   /** Returns the newest revisions that this host knows and a peer was not told yet. */
   public synchronized ImmutableMap<ObjectKind, Long> takeNews(Cursor cursor) {
+    if (cursor.toldCount == readCount) {
+      return ImmutableMap.of();
+    }
     ImmutableMap.Builder<ObjectKind, Long> news = ImmutableMap.builder();
     for (ObjectKind kind : cursor.kinds) {
       Collection collection = collection(kind);
--- a/server/src/main/java/org/trefoilbarrow/state/ChangeLog.java
+++ b/server/src/main/java/org/trefoilbarrow/state/ChangeLog.java
@@ -75,9 +75,7 @@
     }
     ImmutableList.Builder<ObjectChange> changes = ImmutableList.builder();
     for (ChangeBatch batch : batches) {
-      if (batch.revision() > revision) {
-        changes.addAll(batch.changes());
-      }
+      batch.changes().stream().filter(change -> change.version() > revision).forEach(changes::add);
     }
     return Optional.of(new ChangeBatch(Math.max(revision, endRevision), changes.build()));
   }
--- a/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/DispatchServer.java
@@ -136,6 +136,11 @@
     clients.keySet().forEach(dispatcher::hostRestarted);
   }
 
+  /** Returns whether a host is connected to this one. */
+  boolean isConnectedTo(HostId host) {
+    return clients.containsKey(host);
+  }
+
   /** Sends a decision to the host that it concerns, if that is connected. */
   void send(Decision decision) {
     if (clients.containsKey(decision.demand().host())) {
--- a/server/src/main/java/org/trefoilbarrow/transport/link/HostLinks.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/HostLinks.java
@@ -85,6 +85,12 @@
     return links.containsKey(host);
   }
 
+  /** Returns whether a host is a live peer. */
+  boolean isLive(HostId host) {
+    Link link = links.get(host);
+    return link != null && link.isLive();
+  }
+
   /** Sends a message to a peer; it is dropped while the peer is not connected. */
   void send(HostId peer, LinkMessage message) {
     Link link = links.get(peer);
--- a/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/PlacementClient.java
@@ -374,6 +374,11 @@
     return dispatchingHost.isSelf();
   }
 
+  /** Returns whether this host and another are connected. */
+  public boolean isConnectedTo(HostId host) {
+    return links.isLive(host) || server.isConnectedTo(host);
+  }
+
   /** Sends a message to another host; it is dropped while the two are not connected. */
   public void send(HostId host, LinkMessage message) {
     if (links.has(host)) {
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.trefoilbarrow.coordination.membership.Rendezvous;
 import org.trefoilbarrow.coordination.watch.CollectionRevisions;
@@ -49,6 +50,7 @@
   private final EventLoop loop;
   private final PeerAddress self;
   private final Supplier<ImmutableList<PeerAddress>> livePeers;
+  private final Predicate<HostId> connected;
   private final CollectionRevisions revisions;
   private final BiConsumer<HostId, LinkMessage> sender;
   private final int minHosts;
@@ -81,6 +83,8 @@
    * Creates an instance without watches.
    *
    * @param livePeers the live peers that are connected to the platform
+   * @param connected whether this host is connected to another, which may be one that serves
+   *     callers
    * @param revisions the changes of collections that hosts tell each other of
    * @param sender sends a message to a peer
    * @param minHosts the number of registered hosts from which watches go through peers
@@ -90,6 +94,7 @@
       EventLoop loop,
       PeerAddress self,
       Supplier<ImmutableList<PeerAddress>> livePeers,
+      Predicate<HostId> connected,
       CollectionRevisions revisions,
       BiConsumer<HostId, LinkMessage> sender,
       int minHosts,
@@ -97,6 +102,7 @@
     this.loop = checkNotNull(loop, "loop");
     this.self = checkNotNull(self, "self");
     this.livePeers = checkNotNull(livePeers, "livePeers");
+    this.connected = checkNotNull(connected, "connected");
     this.revisions = checkNotNull(revisions, "revisions");
     this.sender = checkNotNull(sender, "sender");
     this.minHosts = minHosts;
@@ -172,9 +178,15 @@
         livePeers.get().stream()
             .filter(peer -> peersAhead.contains(peer.host()))
             .collect(ImmutableList.toImmutableList());
+    Optional<HostId> peer =
+        choose(read.kind, live).or(() -> peersAhead.stream().filter(connected).findFirst());
+    if (peer.isEmpty()) {
+      read.result.complete(WatchAnswer.UNAVAILABLE);
+      return;
+    }
     long number = nextNumber++;
     watches.put(number, read);
-    sendTo(choose(read.kind, live).orElse(peersAhead.get(0)), number, read);
+    sendTo(peer.get(), number, read);
   }
 
   private boolean mayGetPeer() {
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/TrackedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/TrackedPlatform.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -16,6 +17,8 @@
 
 /** A platform that records the revisions of the changes that this host knows. Thread-safe. */
 public final class TrackedPlatform extends ForwardingPlatform {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final CollectionRevisions revisions;
   private final LongSupplier nanoClock;
 
@@ -31,18 +34,27 @@
     revisions.beginWatch(kind, afterRevision, nanoClock.getAsLong());
     try {
       Optional<ChangeBatch> batch = super.watch(kind, afterRevision, wait);
-      batch.ifPresent(
-          found ->
-              found.changes().stream()
-                  .mapToLong(ObjectChange::version)
-                  .max()
-                  .ifPresent(newest -> revisions.recordKnown(kind, newest)));
+      if (batch.isPresent() && revisions.passesOver(kind, afterRevision, batch.get())) {
+        logger.atWarning().log(
+            "platform: watch of %s after revision %d passes over a change that a peer knows; "
+                + "reading a snapshot",
+            kind.collection(), afterRevision);
+        return Optional.empty();
+      }
+      batch.ifPresent(found -> recordKnown(kind, found));
       return batch;
     } finally {
       revisions.endWatch(kind);
     }
   }
 
+  private void recordKnown(ObjectKind kind, ChangeBatch batch) {
+    batch.changes().stream()
+        .mapToLong(ObjectChange::version)
+        .max()
+        .ifPresent(newest -> revisions.recordKnown(kind, newest));
+  }
+
   @Override
   public ObjectPage list(ObjectKind kind, String prefix, String after, int limit) {
     ObjectPage page = super.list(kind, prefix, after, limit);
--- a/server/src/test/java/org/trefoilbarrow/transport/watch/CatchUpTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/watch/CatchUpTest.java
@@ -46,6 +46,7 @@
   private CollectionRevisions revisions;
   private RefusingPlatform platform;
   private WatchAnswer answerOfPeer;
+  private boolean peerIsConnected;
   private PeerWatches peers;
   private RelayedPlatform relayed;
 
@@ -72,6 +73,7 @@
     revisions = new CollectionRevisions();
     platform = new RefusingPlatform();
     answerOfPeer = WatchAnswer.UNAVAILABLE;
+    peerIsConnected = true;
     EventLoop loop = group.next();
     PeerAddress self = new PeerAddress(HostId.of("self"), "127.0.0.1", 1, false, "d", 1);
     peers =
@@ -79,6 +81,7 @@
             loop,
             self,
             ImmutableList::of,
+            host -> peerIsConnected,
             revisions,
             (to, message) -> loop.execute(() -> answer(to, message)),
             1,
@@ -137,6 +140,33 @@
     assertEquals(platform.waits, ImmutableList.of(WAIT));
   }
 
+  @Test
+  public void peerThatIsNotConnectedIsNotWaitedFor() {
+    revisions.recordTold(KIND, 12, Optional.of(PEER), 0);
+    answerOfPeer = new WatchAnswer.Changes(CHANGES);
+    peerIsConnected = false;
+    assertThrows(PlatformException.class, () -> relayed.watch(KIND, 10, WAIT));
+  }
+
+  /**
+   * An answer that claims to be later than a change and does not have it would hide it for good.
+   */
+  @Test
+  public void answerThatPassesOverAChangeOfAPeerIsReplacedByASnapshot() {
+    ForwardingPlatform answers =
+        new ForwardingPlatform(platform) {
+          @Override
+          public Optional<ChangeBatch> watch(ObjectKind kind, long afterRevision, Duration wait) {
+            return Optional.of(new ChangeBatch(15, ImmutableList.of()));
+          }
+        };
+    TrackedPlatform tracked = new TrackedPlatform(answers, revisions, () -> 0);
+    assertEquals(tracked.watch(KIND, 10, WAIT).map(ChangeBatch::revision), Optional.of(15L));
+    revisions.recordTold(KIND, 12, Optional.of(PEER), 0);
+    assertEquals(tracked.watch(KIND, 10, WAIT), Optional.empty());
+    assertEquals(tracked.watch(KIND, 12, WAIT).map(ChangeBatch::revision), Optional.of(15L));
+  }
+
   /**
    * A watch that was ended for a missed change counted as an outage, in which servers whose entries
    * are gone are kept for a time.
--- a/server/src/test/java/org/trefoilbarrow/transport/watch/WatchesThroughPeersTest.java
+++ b/server/src/test/java/org/trefoilbarrow/transport/watch/WatchesThroughPeersTest.java
@@ -170,6 +170,7 @@
                       .filter(relay -> relay.live)
                       .map(relay -> relay.address)
                       .collect(ImmutableList.toImmutableList()),
+              host -> true,
               revisions,
               (to, message) -> send(self.host(), to, message),
               2,
