Read from peers only after a watch failed or missed a change

Each watch asked a peer first if one was ahead, also without trouble: at a job host before nearly each watch of results, which no host passes on, and with a wait of up to 500 ms for a peer that does not answer. Watches are as before now unless the last one failed or missed a change, and only collections that hosts pass on are asked for.

Watches are aborted on the event loop: the threads for calls may all wait for a platform that does not answer, just when an abort matters. What hosts pass on stands in WatchedCollections, and ObjectKind finds a kind by its collection.

--- a/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
+++ b/server/src/main/java/org/trefoilbarrow/command/FleetHost.java
@@ -176,7 +176,6 @@
             revisions,
             settings.peerWatchHosts(),
             loop,
-            executor,
             log,
             metrics,
             nanoClock);
--- a/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/command/PlatformWatches.java
@@ -2,16 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.trefoilbarrow.coordination.watch.CollectionRevisions;
 import org.trefoilbarrow.coordination.watch.CollectionRevisions.MissedChange;
 import org.trefoilbarrow.coordination.watch.WatchedCollections;
-import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.state.Platform;
 import org.trefoilbarrow.transport.forward.EventLog;
 import org.trefoilbarrow.transport.link.PeerAddress;
@@ -49,21 +46,7 @@
   /** How often the watches are checked for changes that they have missed. */
   private static final Duration MISSED_CHECK_INTERVAL = Duration.ofMillis(100);
 
-  /** What other hosts decide by for all, or cannot take back. */
-  private static final ImmutableSet<ObjectKind> PASSED_ON_BY_JOB_HOSTS =
-      ImmutableSet.<ObjectKind>builder()
-          .addAll(WatchedCollections.BY_ALL_HOSTS)
-          .add(ObjectKind.JOB_END)
-          .build();
-
-  /**
-   * The limits in the configuration are enforced by the dispatching host alone, which may be the
-   * only one that the platform does not answer.
-   */
-  private static final ImmutableSet<ObjectKind> PASSED_ON_BY_CALLER_HOSTS =
-      ImmutableSet.of(ObjectKind.CONFIGURATION);
-
-  private final boolean passesOnAll;
+  private final boolean jobHost;
   private final int minHosts;
 
   private final PlatformAdapter.ConnectedPlatform connection;
@@ -72,7 +55,6 @@
   private final WatchRelay relay;
   private final PeerWatches peers;
   private final EventLoop loop;
-  private final Executor executor;
   private final EventLog log;
   private final LongSupplier nanoClock;
   private final OutageGate gate = new OutageGate(OutageGate.MAX_WAIT);
@@ -92,17 +74,15 @@
       CollectionRevisions revisions,
       int minHosts,
       EventLoop loop,
-      Executor executor,
       EventLog log,
       FleetMetrics metrics,
       LongSupplier nanoClock) {
     this.connection = checkNotNull(connection, "connection");
     this.revisions = checkNotNull(revisions, "revisions");
     this.loop = checkNotNull(loop, "loop");
-    this.executor = checkNotNull(executor, "executor");
     this.log = checkNotNull(log, "log");
     this.nanoClock = checkNotNull(nanoClock, "nanoClock");
-    this.passesOnAll = !self.servesCallers();
+    this.jobHost = !self.servesCallers();
     this.minHosts = minHosts;
     this.relay = newRelay();
     this.peers =
@@ -128,7 +108,9 @@
   private WatchRelay newRelay() {
     return new WatchRelay(
         loop,
-        passesOnAll ? PASSED_ON_BY_JOB_HOSTS : PASSED_ON_BY_CALLER_HOSTS,
+        jobHost
+            ? WatchedCollections.PASSED_ON_BY_JOB_HOSTS
+            : WatchedCollections.PASSED_ON_BY_CALLER_HOSTS,
         () ->
             nanoClock.getAsLong() - connection.lastResponseNanos()
                 < RELAY_RESPONSE_TIMEOUT.toNanos(),
@@ -162,16 +144,9 @@
     peers.beginAnew(missed.kind());
     if (missed.peers().isEmpty()) {
       // Without peers that would tell, the other watches may have missed changes as well.
-      executor.execute(connection::abortWatches);
-    } else {
-      executor.execute(() -> abortIfMissed(missed.kind()));
-    }
-  }
-
-  /** Aborts the watch that has missed a change, unless the next one has begun already. */
-  private void abortIfMissed(ObjectKind kind) {
-    if (revisions.hasMissed(kind)) {
-      connection.abortWatch(kind);
+      connection.abortWatches();
+    } else if (revisions.hasMissed(missed.kind())) {
+      connection.abortWatch(missed.kind());
     }
   }
 
@@ -204,7 +179,7 @@
   }
 
   private Duration maxWait() {
-    return passesOnAll && isLargeFleet() ? RELAY_MAX_WAIT : Duration.ofMinutes(1);
+    return jobHost && isLargeFleet() ? RELAY_MAX_WAIT : Duration.ofMinutes(1);
   }
 
   private boolean isLargeFleet() {
@@ -213,6 +188,6 @@
 
   /** Returns the interval at which this host probes the platform. */
   Duration probeInterval() {
-    return passesOnAll && isLargeFleet() ? RELAY_PROBE_INTERVAL : PlatformProbe.INTERVAL;
+    return jobHost && isLargeFleet() ? RELAY_PROBE_INTERVAL : PlatformProbe.INTERVAL;
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/watch/CollectionRevisions.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/watch/CollectionRevisions.java
@@ -36,8 +36,8 @@
   private static final ImmutableSet<ObjectKind> KINDS_OF_LARGE_OBJECTS =
       ImmutableSet.of(ObjectKind.JOB, ObjectKind.RESULT);
 
-  private final Map<ObjectKind, Collection> collections = new EnumMap<>(ObjectKind.class);
-  private long readCount;
+  private final Map<ObjectKind, CollectionState> collections = new EnumMap<>(ObjectKind.class);
+  private long knownCount;
 
   /**
    * A change that a watch has not reported.
@@ -65,21 +65,34 @@
   }
 
   /** What is known of one collection. */
-  private static final class Collection {
-    long readRevision;
-    long readNumber;
+  private static final class CollectionState {
+    /** The newest change that this host knows, and its number among all that it came to know. */
+    long knownRevision;
+
+    long knownNumber;
+
+    /** The revision after which the last watch reports changes. */
     long watchedAfter;
+
+    /** When the watch in progress began. */
     OptionalLong watchBeganNanos = OptionalLong.empty();
+
     boolean missedChange;
+
+    /** The newest change that others know, and the peers that told of it. */
     long toldRevision;
+
     final Set<HostId> tellers = new LinkedHashSet<>();
+
+    /** A change that the watch has to report. Later ones are expected once it has. */
     long expectedRevision;
+
     long expectedSinceNanos;
   }
 
   /** Records that a watch of this host begins, which has read all changes up to a revision. */
   public synchronized void beginWatch(ObjectKind kind, long afterRevision, long nowNanos) {
-    Collection collection = collection(kind);
+    CollectionState collection = collection(kind);
     collection.watchedAfter = afterRevision;
     collection.watchBeganNanos = OptionalLong.of(nowNanos);
     collection.missedChange = false;
@@ -96,10 +109,10 @@
 
   /** Records that this host has read or written a change, which it tells its peers. */
   public synchronized void recordKnown(ObjectKind kind, long revision) {
-    Collection collection = collection(kind);
-    if (revision > collection.readRevision) {
-      collection.readRevision = revision;
-      collection.readNumber = ++readCount;
+    CollectionState collection = collection(kind);
+    if (revision > collection.knownRevision) {
+      collection.knownRevision = revision;
+      collection.knownNumber = ++knownCount;
     }
   }
 
@@ -110,7 +123,7 @@
    */
   public synchronized void recordTold(
       ObjectKind kind, long revision, Optional<HostId> peer, long nowNanos) {
-    Collection collection = collection(kind);
+    CollectionState collection = collection(kind);
     if (revision < collection.toldRevision) {
       return;
     }
@@ -146,7 +159,7 @@
     return missed.build();
   }
 
-  private static boolean hasMissed(ObjectKind kind, Collection collection, long nowNanos) {
+  private static boolean hasMissed(ObjectKind kind, CollectionState collection, long nowNanos) {
     if (collection.watchBeganNanos.isEmpty()
         || collection.missedChange
         || collection.expectedRevision <= collection.watchedAfter) {
@@ -178,7 +191,7 @@
 
   /** Returns the peers that know the newest change, if it is later than a revision. */
   public synchronized ImmutableList<HostId> peersAhead(ObjectKind kind, long revision) {
-    Collection collection = collection(kind);
+    CollectionState collection = collection(kind);
     return collection.toldRevision > revision
         ? ImmutableList.copyOf(collection.tellers)
         : ImmutableList.of();
@@ -186,21 +199,21 @@
 
   /** Returns the newest revisions that this host knows and a peer was not told yet. */
   public synchronized ImmutableMap<ObjectKind, Long> takeNews(Cursor cursor) {
-    if (cursor.toldCount == readCount) {
+    if (cursor.toldCount == knownCount) {
       return ImmutableMap.of();
     }
     ImmutableMap.Builder<ObjectKind, Long> news = ImmutableMap.builder();
     for (ObjectKind kind : cursor.kinds) {
-      Collection collection = collection(kind);
-      if (collection.readNumber > cursor.toldCount) {
-        news.put(kind, collection.readRevision);
+      CollectionState collection = collection(kind);
+      if (collection.knownNumber > cursor.toldCount) {
+        news.put(kind, collection.knownRevision);
       }
     }
-    cursor.toldCount = readCount;
+    cursor.toldCount = knownCount;
     return news.buildOrThrow();
   }
 
-  private Collection collection(ObjectKind kind) {
-    return collections.computeIfAbsent(kind, key -> new Collection());
+  private CollectionState collection(ObjectKind kind) {
+    return collections.computeIfAbsent(kind, key -> new CollectionState());
   }
 }
--- a/server/src/main/java/org/trefoilbarrow/coordination/watch/WatchedCollections.java
+++ b/server/src/main/java/org/trefoilbarrow/coordination/watch/WatchedCollections.java
@@ -3,7 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.trefoilbarrow.state.ObjectKind;
 
-/** Which collections of the platform the hosts of a fleet watch. */
+/** Which collections of the platform the hosts of a fleet watch, and pass on to each other. */
 public final class WatchedCollections {
   /** The collections that every host watches. */
   public static final ImmutableSet<ObjectKind> BY_ALL_HOSTS =
@@ -21,6 +21,20 @@
           .add(ObjectKind.JOB, ObjectKind.RESULT, ObjectKind.JOB_END, ObjectKind.HOST_REMOVAL)
           .build();
 
+  /**
+   * The collections whose changes job hosts pass on: what all hosts watch, and the ends of jobs,
+   * since an item that runs after the end of its job cannot be taken back.
+   */
+  public static final ImmutableSet<ObjectKind> PASSED_ON_BY_JOB_HOSTS =
+      ImmutableSet.<ObjectKind>builder().addAll(BY_ALL_HOSTS).add(ObjectKind.JOB_END).build();
+
+  /**
+   * The collections whose changes hosts that serve callers pass on. The dispatching host alone
+   * applies the limits in the configuration, and the platform may refuse it and all job hosts.
+   */
+  public static final ImmutableSet<ObjectKind> PASSED_ON_BY_CALLER_HOSTS =
+      ImmutableSet.of(ObjectKind.CONFIGURATION);
+
   private WatchedCollections() {}
 
   /** Returns the collections that a host watches. */
--- a/server/src/main/java/org/trefoilbarrow/state/ObjectKind.java
+++ b/server/src/main/java/org/trefoilbarrow/state/ObjectKind.java
@@ -1,5 +1,10 @@
 package org.trefoilbarrow.state;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import java.util.Arrays;
+import java.util.Optional;
+
 /** The collections of objects that trefoilbarrow reads and writes in the platform. */
 public enum ObjectKind {
   /** The operators' configuration. */
@@ -35,12 +40,20 @@
   /** The prompt parts that are kept from all backend servers. */
   QUARANTINED_PART("quarantined-parts");
 
+  private static final ImmutableMap<String, ObjectKind> BY_COLLECTION =
+      Maps.uniqueIndex(Arrays.asList(values()), ObjectKind::collection);
+
   private final String collection;
 
   ObjectKind(String collection) {
     this.collection = collection;
   }
 
+  /** Returns the kind with a collection of a name; empty if this host does not know it. */
+  public static Optional<ObjectKind> ofCollection(String name) {
+    return Optional.ofNullable(BY_COLLECTION.get(name));
+  }
+
   /** Returns the name of the collection in paths. */
   public String collection() {
     return collection;
--- a/server/src/main/java/org/trefoilbarrow/transport/link/Heartbeats.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/link/Heartbeats.java
@@ -2,9 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.Maps;
-import java.util.Arrays;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
@@ -20,9 +17,6 @@
 
 /** Creates the heartbeats of this host, and reads those of others. */
 final class Heartbeats {
-  private static final Map<String, ObjectKind> KINDS =
-      Maps.uniqueIndex(Arrays.asList(ObjectKind.values()), ObjectKind::collection);
-
   private final DispatchElection election;
   private final CollectionRevisions revisions;
   private final BooleanSupplier connectedToPlatform;
@@ -65,13 +59,10 @@
     heartbeat
         .getRevisions()
         .forEach(
-            (collection, revision) -> {
-              ObjectKind kind = KINDS.get(collection);
-              // Hosts of later versions may know more collections.
-              if (kind != null) {
-                revisions.recordTold(kind, revision, Optional.of(peer), nowNanos);
-              }
-            });
+            (collection, revision) ->
+                ObjectKind.ofCollection(collection)
+                    .ifPresent(
+                        kind -> revisions.recordTold(kind, revision, Optional.of(peer), nowNanos)));
   }
 
   /** Returns the report that a heartbeat carries. */
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/PeerWatches.java
@@ -21,6 +21,7 @@
 import java.util.function.Supplier;
 import org.trefoilbarrow.coordination.membership.Rendezvous;
 import org.trefoilbarrow.coordination.watch.CollectionRevisions;
+import org.trefoilbarrow.coordination.watch.WatchedCollections;
 import org.trefoilbarrow.protocol.HostId;
 import org.trefoilbarrow.state.ObjectKind;
 import org.trefoilbarrow.transport.link.PeerAddress;
@@ -134,7 +135,7 @@
    */
   WatchAnswer readMissed(ObjectKind kind, long afterRevision) {
     ImmutableList<HostId> peers = revisions.peersAhead(kind, afterRevision);
-    if (peers.isEmpty()) {
+    if (peers.isEmpty() || !WatchedCollections.PASSED_ON_BY_JOB_HOSTS.contains(kind)) {
       return WatchAnswer.UNAVAILABLE;
     }
     PeerWatch read = new PeerWatch(kind, afterRevision, Duration.ZERO);
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/RelayedPlatform.java
@@ -18,11 +18,10 @@
 import org.trefoilbarrow.transport.platform.CollectionWatcher;
 
 /**
- * A platform whose watches read the changes that this host has missed from a peer that knows them,
- * and then go through a peer or to the platform. All other calls go to the platform. Thread-safe.
- *
- * <p>So a host that the platform refuses, or whose answers are lost, still follows the changes that
- * its peers know.
+ * A platform whose watches go through a peer while one can serve them, and to the platform
+ * otherwise. A watch that follows on one that failed or missed a change first reads the changes
+ * from a peer that knows them, so that a host that the platform refuses still follows what its
+ * peers know. All other calls go to the platform. Thread-safe.
  */
 public final class RelayedPlatform extends ForwardingPlatform {
   private final PeerWatches peers;
@@ -30,7 +29,7 @@
   private final boolean watchesThroughPeers;
   private final OutageGate gate;
 
-  /** The collections whose last watch has missed a change. */
+  /** The collections whose last watch has failed or missed a change. */
   private final Set<ObjectKind> behind = ConcurrentHashMap.newKeySet();
 
   /** What a peer sent to a watch that fell behind; the next list of the collection returns it. */
@@ -73,8 +72,10 @@
 
   private Optional<ChangeBatch> watch(
       ObjectKind kind, long afterRevision, Duration wait, boolean catchesUp) {
-    WatchAnswer answer = peers.readMissed(kind, afterRevision);
-    if (answer.equals(WatchAnswer.UNAVAILABLE) && watchesThroughPeers && !catchesUp) {
+    WatchAnswer answer = WatchAnswer.UNAVAILABLE;
+    if (catchesUp) {
+      answer = peers.readMissed(kind, afterRevision);
+    } else if (watchesThroughPeers) {
       answer = peers.watch(kind, afterRevision, wait);
     }
     if (answer instanceof WatchAnswer.Changes changes) {
@@ -88,6 +89,7 @@
     try {
       return super.watch(kind, afterRevision, catchesUp ? CollectionWatcher.CATCH_UP_WAIT : wait);
     } catch (PlatformException e) {
+      behind.add(kind);
       if (!revisions.hasMissed(kind)) {
         throw e;
       }
--- a/server/src/main/java/org/trefoilbarrow/transport/watch/WatchMessages.java
+++ b/server/src/main/java/org/trefoilbarrow/transport/watch/WatchMessages.java
@@ -1,9 +1,6 @@
 package org.trefoilbarrow.transport.watch;
 
-import com.google.common.collect.Maps;
 import java.time.Duration;
-import java.util.Arrays;
-import java.util.Map;
 import java.util.Optional;
 import org.trefoilbarrow.state.ChangeBatch;
 import org.trefoilbarrow.state.ObjectChange;
@@ -17,9 +14,6 @@
 
 /** Converts watches and their results from and to messages. */
 final class WatchMessages {
-  private static final Map<String, ObjectKind> KINDS =
-      Maps.uniqueIndex(Arrays.asList(ObjectKind.values()), ObjectKind::collection);
-
   private WatchMessages() {}
 
   static LinkMessage watch(long number, ObjectKind kind, long afterRevision, Duration wait) {
@@ -29,7 +23,7 @@
 
   /** Returns the collection that is watched; empty if this host does not know it. */
   static Optional<ObjectKind> kindOf(WatchMessage watch) {
-    return Optional.ofNullable(KINDS.get(watch.getCollection()));
+    return ObjectKind.ofCollection(watch.getCollection());
   }
 
   /** Returns the result of a watch. */
