Review case 11: batch jobs of a service without workers stop those of all others

A job host runs at most 512 items at a time, and counts those that only wait for a slot. With one worker lost, the only one of its service, an accepted job for another service never runs though its workers are idle. Nothing is mended here.

--- a/review/fleet3/Setup.java
+++ b/review/fleet3/Setup.java
@@ -16,6 +16,7 @@
   static final int BROKEN = 1;
   static final int HELD = 0;
   static final int NOT_RUN = 2;
+  static final int BATCH_ATTEMPTS = 2;
 
   final Record record;
   final Store store;
@@ -37,6 +38,11 @@
 
   /** Writes a configuration with three routes: plain requests, streams and batch jobs. */
   void configure(double ratePerS, double burst) {
+    configure(ratePerS, burst, 12.0);
+  }
+
+  /** Writes the same configuration with another rate that cold workers tolerate. */
+  void configure(double ratePerS, double burst, double coldRateS) {
     ObjectNode config = Store.JSON.createObjectNode();
     config.put("version", 7);
     ArrayNode routes = config.putArray("routes");
@@ -45,14 +51,12 @@
     ObjectNode stream = route(routes, "notes", "/notes/", "stream", "assistant");
     stream.put("timeoutMs", 5000).put("latencyTargetMs", 300).put("attempts", 2);
     stream.put("resumable", true).put("gapTargetMs", 400).put("sticky", true);
-    ObjectNode bulk = route(routes, "batch", "/batch/", "bulk", "assistant");
-    bulk.put("timeoutMs", 15000).put("latencyTargetMs", 400).put("attempts", 3);
-    bulk.put("runTargetMs", 18000).put("retentionS", 60).put("priority", 2).put("sticky", true);
-    bulk.put("resumable", true).put("gapTargetMs", 400);
+    bulk(routes, "batch", "/batch/", "assistant");
+    bulk(routes, "drafts", "/drafts/", "drafter");
     ArrayNode services = config.putArray("services");
-    for (String name : List.of("assistant", "ledger")) {
+    for (String name : List.of("assistant", "drafter", "ledger")) {
       services.addObject().put("name", name).put("healthPath", "/healthz").put("maxConns", 360)
-          .put("protocol", "h1").put("tls", false).put("coldS", 3.0).put("coldRateS", 12.0);
+          .put("protocol", "h1").put("tls", false).put("coldS", 3.0).put("coldRateS", coldRateS);
     }
     config.putObject("limits").put("maxHeaderBytes", 16384).put("maxBodyBytes", 4194304)
         .put("headerTimeoutMs", 3000).put("idleTimeoutMs", 15000);
@@ -65,6 +69,13 @@
     store.put("config", "main", config);
   }
 
+  private static void bulk(ArrayNode routes, String name, String prefix, String service) {
+    ObjectNode bulk = route(routes, name, prefix, "bulk", service);
+    bulk.put("timeoutMs", 15000).put("latencyTargetMs", 400).put("attempts", BATCH_ATTEMPTS);
+    bulk.put("runTargetMs", 18000).put("retentionS", 60).put("priority", 2).put("sticky", true);
+    bulk.put("resumable", true).put("gapTargetMs", 400);
+  }
+
   private static ObjectNode route(
       ArrayNode routes, String name, String prefix, String kind, String service) {
     return routes.addObject().put("name", name).put("host", HOST).put("pathPrefix", prefix)
@@ -76,11 +87,22 @@
   }
 
   Worker engine(String id, int slots, int events, long stepMillis) throws IOException {
-    return add(new Worker(store, record, id, "assistant", "z1", true, slots, events, stepMillis));
+    return engine(id, "assistant", slots, events, stepMillis);
+  }
+
+  Worker engine(String id, String service, int slots, int events, long stepMillis)
+      throws IOException {
+    return add(new Worker(store, record, id, service, "z1", true, slots, events, stepMillis, 0));
   }
 
   Worker ledger(String id, int slots, long workMillis) throws IOException {
-    return add(new Worker(store, record, id, "ledger", "z1", false, slots, 0, workMillis));
+    return ledger(id, slots, workMillis, 0);
+  }
+
+  /** Starts a plain worker that is cold for a time. */
+  Worker ledger(String id, int slots, long workMillis, long coldMillis) throws IOException {
+    return add(
+        new Worker(store, record, id, "ledger", "z1", false, slots, 0, workMillis, coldMillis));
   }
 
   private Worker add(Worker worker) {
@@ -128,6 +150,12 @@
 
   Http.Answer submit(Fleet.Host edge, String tenant, String job, List<ObjectNode> items)
       throws IOException {
+    return submit(edge, tenant, "/batch/", job, items);
+  }
+
+  Http.Answer submit(
+      Fleet.Host edge, String tenant, String prefix, String job, List<ObjectNode> items)
+      throws IOException {
     ObjectNode body = Store.JSON.createObjectNode();
     body.putArray("items").addAll(items);
     byte[] bytes = Store.JSON.writeValueAsBytes(body);
@@ -137,7 +165,7 @@
     headers.put("X-Attempt-Id", job);
     headers.put("Content-Type", "application/json");
     headers.put("X-Deadline-Ms", "4000");
-    Http.Answer answer = Http.call(edge.front, "POST", "/batch/" + job, headers, bytes, 4000);
+    Http.Answer answer = Http.call(edge.front, "POST", prefix + job, headers, bytes, 4000);
     record.add(
         "client", "submits", job + " items=" + items.size() + " bytes=" + bytes.length
             + " at " + edge.name + " -> " + describe(answer));
@@ -169,6 +197,19 @@
     }
   }
 
+  /** Returns when a worker began to work on a request last. */
+  double lastRun() {
+    double last = 0;
+    for (Worker worker : workers) {
+      synchronized (worker.runs) {
+        for (Worker.Run run : worker.runs) {
+          last = Math.max(last, run.seconds());
+        }
+      }
+    }
+    return last;
+  }
+
   static String describe(Http.Answer answer) {
     return answer.status() + (answer.status() == 0 ? " " + answer.body() : "")
         + String.format(" in %.0f ms", answer.millis());
--- a/review/fleet3/Worker.java
+++ b/review/fleet3/Worker.java
@@ -12,8 +12,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -35,6 +36,8 @@
     }
   }
 
+  private static final long BEAT_MILLIS = 1200;
+
   private final Store store;
   private final Record record;
   private final String id;
@@ -44,12 +47,22 @@
   private final int slots;
   private final int events;
   private final long stepMillis;
+  private final long coldMillis;
   private final long born = System.currentTimeMillis();
+  final double startSeconds;
   private final ServerSocket listener;
   private final Semaphore places;
   private final AtomicInteger held = new AtomicInteger();
   final AtomicInteger working = new AtomicInteger();
   final List<Run> runs = Collections.synchronizedList(new ArrayList<>());
+  /** Identifiers of requests whose next run fails with 500. */
+  final Set<String> failNext = ConcurrentHashMap.newKeySet();
+
+  /** Whether an answer of 500 comes again late, where the next answer is expected. */
+  volatile boolean repeatsFailures;
+
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private volatile boolean crashed;
   private long seq;
 
   Worker(
@@ -61,8 +74,10 @@
       boolean engine,
       int slots,
       int events,
-      long stepMillis)
+      long stepMillis,
+      long coldMillis)
       throws IOException {
+    this.coldMillis = coldMillis;
     this.store = store;
     this.record = record;
     this.id = id;
@@ -73,6 +88,7 @@
     this.events = events;
     this.stepMillis = stepMillis;
     this.places = new Semaphore(slots, true);
+    startSeconds = record.seconds();
     listener = new ServerSocket(0, 400, InetAddress.getByName("127.0.0.1"));
     daemon("accept-" + id, this::accept);
     beat();
@@ -86,9 +102,23 @@
   }
 
   private void beats() {
-    while (true) {
-      Wait.millis(1200);
-      beat();
+    while (!crashed) {
+      Wait.millis(BEAT_MILLIS);
+      if (!crashed) {
+        beat();
+      }
+    }
+    Wait.millis(2 * BEAT_MILLIS);
+    store.remove("servers", id);
+  }
+
+  /** Ends at once and for good; its entry lapses after three beats of silence. */
+  void crash() throws IOException {
+    record.add(id, "crashes", "");
+    crashed = true;
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
     }
   }
 
@@ -96,15 +126,20 @@
     ObjectNode entry = Store.JSON.createObjectNode();
     entry.put("service", service).put("addr", "127.0.0.1:" + listener.getLocalPort());
     entry.put("zone", zone).put("version", "v1").put("slots", slots).put("state", "ready");
-    entry.put("coldLeftMs", 0).put("seq", ++seq).put("born", born);
+    entry.put("coldLeftMs", coldLeftMillis()).put("seq", ++seq).put("born", born);
     store.put("servers", id, entry);
   }
 
+  private long coldLeftMillis() {
+    return Math.max(0, born + coldMillis - System.currentTimeMillis());
+  }
+
   private void accept() {
     while (true) {
       try {
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
+        sockets.add(socket);
         daemon("serve-" + id, () -> serve(socket));
       } catch (IOException e) {
         return;
@@ -116,6 +151,7 @@
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
       OutputStream out = socket.getOutputStream();
+      String extra = "";
       while (true) {
         String start = Http.line(in);
         if (start == null) {
@@ -124,7 +160,19 @@
         Map<String, String> headers = Http.headers(in);
         byte[] body = Http.body(in, headers);
         String[] words = start.split(" ");
-        answer(out, words[0], words[1], headers, body.length);
+        if (!extra.isEmpty()) {
+          record.add(id, "repeats", "the answer of 500 to " + headers.get("x-attempt-id"));
+          Http.write(out, extra);
+          extra = "";
+        }
+        String attempt = headers.getOrDefault("x-attempt-id", "");
+        if (failNext.remove(attempt)) {
+          String failure = fail(words[0], words[1], headers, attempt, body.length);
+          Http.write(out, failure);
+          extra = repeatsFailures ? failure : "";
+        } else {
+          answer(out, words[0], words[1], headers, body.length);
+        }
       }
     } catch (IOException e) {
       // The other side has closed the connection, so the request is dropped.
@@ -163,6 +211,20 @@
     }
   }
 
+  /** Returns the data of an event, of 390 bytes, the most that an event of the site has. */
+  private static String piece(int event) {
+    return String.format("%-390s", "piece " + event).replace(' ', '.');
+  }
+
+  private String fail(
+      String method, String path, Map<String, String> headers, String attempt, int bodyBytes) {
+    runs.add(
+        new Run(record.seconds(), id, method, path, new LinkedHashMap<>(headers), bodyBytes));
+    record.add(id, "runs", attempt + " and answers 500");
+    return "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: " + attempt
+        + "\r\nX-Server-Stamp: " + id + ".1\r\nContent-Length: 0\r\n\r\n";
+  }
+
   private void reject(OutputStream out, String status, String attempt) throws IOException {
     record.add(id, "rejects", attempt + " " + status);
     Http.write(
@@ -195,7 +257,7 @@
     int first = Integer.parseInt(headers.getOrDefault("last-event-id", "0")) + 1;
     for (int event = first; event <= events; event++) {
       Wait.millis(stepMillis);
-      String text = "id: " + event + "\ndata: piece " + event + "\n\n";
+      String text = "id: " + event + "\ndata: " + piece(event) + "\n\n";
       Http.write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
     Http.write(out, "0\r\n\r\n");
