--- a/review/fleet3/Worker.java
+++ b/review/fleet3/Worker.java
@@ -176,7 +176,10 @@
       throws IOException {
     String attempt = headers.getOrDefault("x-attempt-id", "");
     if (path.equals("/healthz")) {
-      Http.write(out, "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+      Http.write(
+          out,
+          "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nX-Cold-Ms: " + coldLeftMillis()
+              + "\r\nContent-Length: 0\r\n\r\n");
       return;
     }
     String expected = headers.get("x-expect-instance");
